--- /dev/null
+++ b/Makefile
@@ -0,0 +1,43 @@
+# Entry points over the CMake presets. JOBS limits the compile jobs.
+JOBS ?= $(shell nproc)
+export CCACHE_DIR ?= $(HOME)/.cache/ccache
+
+.PHONY: packages build test demo bench format format-check lint asan tsan clean
+
+packages:
+	tools/install_packages.sh
+
+build: packages
+	cmake --preset release >/dev/null
+	cmake --build --preset release -j $(JOBS)
+
+test: build
+	ctest --preset release -j $(JOBS)
+
+demo: build
+	tools/demo.sh build/release
+
+bench: build
+	tools/bench.sh build/release
+
+asan: packages
+	cmake --preset asan >/dev/null
+	cmake --build --preset asan -j $(JOBS)
+	ctest --preset asan -j $(JOBS)
+
+tsan: packages
+	cmake --preset tsan >/dev/null
+	cmake --build --preset tsan -j $(JOBS)
+	ctest --preset tsan -j $(JOBS)
+
+format:
+	tools/source_files.sh | xargs -r clang-format -i
+
+format-check:
+	tools/source_files.sh | xargs -r clang-format --dry-run -Werror
+
+lint: build
+	tools/source_files.sh | grep '\.cc$$' | xargs -r -P $(JOBS) -n 2 clang-tidy --quiet -p build/release
+
+clean:
+	rm -rf build
--- /dev/null
+++ b/src/base/decision.h
@@ -0,0 +1,70 @@
+// The record behind each line of the decision log: one for each flow or request
+// that is routed, and for each placement, slot or membership decision.
+#ifndef MARJORAMHALL_BASE_DECISION_H_
+#define MARJORAMHALL_BASE_DECISION_H_
+
+#include <cstdint>
+#include <functional>
+#include <span>
+#include <string_view>
+
+#include "src/base/enum_names.h"
+#include "src/base/ids.h"
+
+namespace marjoramhall {
+
+enum class DecisionKind {
+  kRouteFlow,
+  kDropPacket,
+  kRouteRequest,
+  kRefuseRequest,
+  kEndRequest,
+  kPlaceBuckets,
+  kMoveSlots,
+  kTargetHealth,
+  kKeyRange,
+  kMembership,
+  kConfiguration,
+};
+
+inline constexpr EnumName<DecisionKind> kDecisionKindNames[] = {
+    {DecisionKind::kRouteFlow, "route-flow"},
+    {DecisionKind::kDropPacket, "drop-packet"},
+    {DecisionKind::kRouteRequest, "route-request"},
+    {DecisionKind::kRefuseRequest, "refuse-request"},
+    {DecisionKind::kEndRequest, "end-request"},
+    {DecisionKind::kPlaceBuckets, "place-buckets"},
+    {DecisionKind::kMoveSlots, "move-slots"},
+    {DecisionKind::kTargetHealth, "target-health"},
+    {DecisionKind::kKeyRange, "key-range"},
+    {DecisionKind::kMembership, "membership"},
+    {DecisionKind::kConfiguration, "configuration"},
+};
+constexpr std::span<const EnumName<DecisionKind>> NamesOf(DecisionKind) {
+  return kDecisionKindNames;
+}
+
+// Views are valid during the hook call only. Fields that do not apply keep
+// their defaults and are left out of the log line.
+struct Decision {
+  DecisionKind kind = DecisionKind::kRouteFlow;
+  // Flow hash or request id; the same on every VM that handles the flow or
+  // request, so that log lines join up over VMs.
+  uint64_t subject = 0;
+  ServiceId service = ServiceId::kNone;
+  TargetId target = TargetId::kNone;
+  VmId vm = VmId::kNone;
+  Revision revision = 0;
+  // What was decided and why, from a fixed set of short phrases.
+  std::string_view outcome;
+  std::string_view reason;
+  // Free text for rare events such as membership and configuration changes.
+  std::string_view detail;
+};
+
+// Must not block. Called on the thread of the deciding plane.
+using DecisionHook = std::function<void(const Decision&)>;
+
+}  // namespace marjoramhall
+
+#endif  // MARJORAMHALL_BASE_DECISION_H_
