Add the JSON form of a deployment

The store, gossip and the operators' side need one text form of a deployment. FromJson collects every fault with the path of the value and refuses unknown and duplicate keys. Durations carry units, parsed by src/base/units.

--- /dev/null
+++ b/src/config/deployment_fields.cc
@@ -0,0 +1,159 @@
+// JSON codecs of failure domains, targets, request kinds and services.
+#include "src/config/deployment_fields.h"
+
+#include "src/base/units.h"
+
+namespace marjoramhall::config {
+namespace {
+
+// Sets a member unless it has its default.
+template <typename T>
+void Put(Json& json, const char* key, const T& value, const T& standard) {
+  if (value != standard) {
+    json[key] = value;
+  }
+}
+
+template <typename E>
+void PutEnum(Json& json, const char* key, E value, E standard) {
+  if (value != standard) {
+    json[key] = std::string(NameOf(value));
+  }
+}
+
+void PutLimit(Json& json, const char* key, const RateLimit& limit) {
+  if (limit != RateLimit{}) {
+    json[key] = {{"rate", limit.rate}, {"burst", limit.burst}};
+  }
+}
+
+Json KindToJson(const RequestKind& kind) {
+  const RequestKind standard;
+  Json json = {{"name", kind.name}};
+  Put(json, "method", kind.method, standard.method);
+  Put(json, "path_prefix", kind.path_prefix, standard.path_prefix);
+  Put(json, "idempotent", kind.idempotent, standard.idempotent);
+  if (kind.deadline != standard.deadline) {
+    json["deadline"] = FormatDuration(kind.deadline);
+  }
+  PutEnum(json, "priority", kind.priority, standard.priority);
+  PutLimit(json, "limit", kind.limit);
+  PutLimit(json, "caller_limit", kind.caller_limit);
+  return json;
+}
+
+void ReadLimit(JsonObjectReader& reader,
+               const char* key,
+               JsonErrors* errors,
+               RateLimit* out) {
+  const Json* json = reader.ReadObject(key);
+  if (json == nullptr) {
+    return;
+  }
+  JsonObjectReader limit(*json, reader.PathOf(key), errors);
+  limit.Require("rate");
+  limit.Read("rate", &out->rate);
+  limit.Read("burst", &out->burst);
+  limit.Finish();
+}
+
+void ReadKind(JsonObjectReader& reader, RequestKind* out) {
+  reader.Require("name");
+  reader.Read("name", &out->name);
+  reader.Read("method", &out->method);
+  reader.Read("path_prefix", &out->path_prefix);
+  reader.Read("idempotent", &out->idempotent);
+  reader.Read("deadline", &out->deadline);
+  reader.ReadEnum("priority", &out->priority);
+  ReadLimit(reader, "limit", reader.errors(), &out->limit);
+  ReadLimit(reader, "caller_limit", reader.errors(), &out->caller_limit);
+}
+
+}  // namespace
+
+Json DomainToJson(const FailureDomain& domain) {
+  Json json = {{"name", domain.name}};
+  Put(json, "region", domain.region, std::string());
+  return json;
+}
+
+Json TargetToJson(const Target& target) {
+  const Target standard;
+  Json json = {{"name", target.name},
+               {"domain", target.domain},
+               {"flow_endpoint", target.flow_endpoint.ToString()},
+               {"request_endpoint", target.request_endpoint.ToString()}};
+  Put(json, "id", ToInteger(target.id), ToInteger(standard.id));
+  Put(json, "slots", target.slots, standard.slots);
+  Put(json, "queue", target.queue, standard.queue);
+  Put(json, "connections", target.connections, standard.connections);
+  Put(json, "weight", target.weight, standard.weight);
+  PutEnum(json, "state", target.state, standard.state);
+  return json;
+}
+
+Json ServiceToJson(const Service& service) {
+  const Service standard;
+  Json json = {{"name", service.name},
+               {"flow_address", service.flow_address.ToString()},
+               {"host", service.host}};
+  Put(json, "id", ToInteger(service.id), ToInteger(standard.id));
+  PutEnum(json, "flow_protocol", service.flow_protocol, standard.flow_protocol);
+  for (const RequestKind& it : service.kinds) {
+    json["kinds"].push_back(KindToJson(it));
+  }
+  for (const Target& it : service.targets) {
+    json["targets"].push_back(TargetToJson(it));
+  }
+  return json;
+}
+
+void ReadDomainFields(JsonObjectReader& reader, FailureDomain* out) {
+  reader.Read("name", &out->name);
+  reader.Read("region", &out->region);
+}
+
+void ReadTargetFields(JsonObjectReader& reader, Target* out) {
+  reader.Read("name", &out->name);
+  reader.Read("domain", &out->domain);
+  reader.Read("flow_endpoint", &out->flow_endpoint);
+  reader.Read("request_endpoint", &out->request_endpoint);
+  reader.Read("slots", &out->slots);
+  reader.Read("queue", &out->queue);
+  reader.Read("connections", &out->connections);
+  reader.Read("weight", &out->weight);
+  reader.ReadEnum("state", &out->state);
+}
+
+void ReadServiceFields(JsonObjectReader& reader, Service* out) {
+  reader.Read("name", &out->name);
+  reader.Read("flow_address", &out->flow_address);
+  reader.ReadEnum("flow_protocol", &out->flow_protocol);
+  reader.Read("host", &out->host);
+  reader.ReadList("kinds", &out->kinds, ReadKind);
+}
+
+void ReadDomain(JsonObjectReader& reader, FailureDomain* out) {
+  reader.Require("name");
+  ReadDomainFields(reader, out);
+}
+
+void ReadTarget(JsonObjectReader& reader, Target* out) {
+  for (const char* it :
+       {"name", "domain", "flow_endpoint", "request_endpoint"}) {
+    reader.Require(it);
+  }
+  reader.ReadId("id", &out->id);
+  ReadTargetFields(reader, out);
+}
+
+void ReadService(JsonObjectReader& reader, Service* out) {
+  for (const char* it : {"name", "flow_address", "host"}) {
+    reader.Require(it);
+  }
+  reader.ReadId("id", &out->id);
+  ReadServiceFields(reader, out);
+  reader.ReadList("targets", &out->targets, ReadTarget);
+}
+
+}  // namespace marjoramhall::config
--- /dev/null
+++ b/src/config/json_reader.h
@@ -0,0 +1,124 @@
+// Strict reading of JSON from operators and peers. Every fault is collected
+// with the path of the value, so that one answer names all of them.
+#ifndef MARJORAMHALL_CONFIG_JSON_READER_H_
+#define MARJORAMHALL_CONFIG_JSON_READER_H_
+
+#include <cstdint>
+#include <limits>
+#include <nlohmann/json.hpp>
+#include <optional>
+#include <set>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "src/base/endpoint.h"
+#include "src/base/enum_names.h"
+#include "src/base/time.h"
+
+namespace marjoramhall::config {
+
+using Json = nlohmann::json;
+
+// Faults found in one document. Keeps the first 20 and counts the rest.
+class JsonErrors {
+ public:
+  void Add(const std::string& path, const std::string& problem);
+  bool empty() const { return count_ == 0; }
+  // All kept faults in one line, separated by "; ".
+  std::string Text() const;
+
+ private:
+  std::vector<std::string> kept_;
+  size_t count_ = 0;
+};
+
+// Parses a document. Duplicate keys and nesting over 16 levels are faults.
+// Returns nothing after reporting why.
+std::optional<Json> ParseStrict(std::string_view text, JsonErrors* errors);
+
+// Reads the members of one JSON object. A member that is absent leaves the
+// caller's default in place unless it is required. Finish() reports members
+// that nothing asked for. The object and the errors must outlive the reader.
+class JsonObjectReader {
+ public:
+  JsonObjectReader(const Json& json, std::string path, JsonErrors* errors);
+
+  bool Has(const char* key) const;
+  void Require(const char* key);
+
+  void Read(const char* key, std::string* out);
+  void Read(const char* key, bool* out);
+  void Read(const char* key, double* out);  // finite and not negative
+  void Read(const char* key, uint32_t* out);
+  void Read(const char* key, uint64_t* out);
+  void Read(const char* key, int64_t* out);
+  void Read(const char* key, Endpoint* out);
+  void Read(const char* key, Duration* out);  // text such as "250ms"
+
+  template <typename E>
+  requires std::is_enum_v<E>
+  void ReadEnum(const char* key, E* out) {
+    std::string name;
+    if (!ReadText(key, &name)) {
+      return;
+    }
+    if (const auto value = ParseEnum<E>(name)) {
+      *out = *value;
+      return;
+    }
+    std::string expected;
+    for (const auto& it : NamesOf(E{})) {
+      expected += (expected.empty() ? "" : ", ") + std::string(it.name);
+    }
+    Report(key, "expected one of " + expected);
+  }
+
+  // An id is a number; absent stays kNone.
+  template <typename Id>
+  void ReadId(const char* key, Id* out) {
+    auto number = ToInteger(*out);
+    Read(key, &number);
+    *out = static_cast<Id>(number);
+  }
+
+  // Calls `read(JsonObjectReader&, T*)` for each object of an array.
+  template <typename T, typename ReadItem>
+  void ReadList(const char* key, std::vector<T>* out, ReadItem read) {
+    const Json* list = Find(key, Json::value_t::array, "an array");
+    if (list == nullptr) {
+      return;
+    }
+    out->clear();
+    for (size_t i = 0; i < list->size(); ++i) {
+      JsonObjectReader item(
+          (*list)[i], PathOf(key) + "[" + std::to_string(i) + "]", errors_);
+      T value;
+      read(item, &value);
+      item.Finish();
+      out->push_back(std::move(value));
+    }
+  }
+
+  // Returns the member object, or null when it is absent or of another type.
+  const Json* ReadObject(const char* key);
+
+  void Report(const char* key, const std::string& problem);
+  JsonErrors* errors() { return errors_; }
+  std::string PathOf(const char* key) const;
+  void Finish();
+
+ private:
+  const Json* Find(const char* key, Json::value_t type, const char* expected);
+  bool ReadText(const char* key, std::string* out);
+  bool ReadUnsigned(const char* key, uint64_t largest, uint64_t* out);
+
+  const Json& json_;
+  std::string path_;
+  JsonErrors* errors_;
+  std::set<std::string> known_;
+};
+
+}  // namespace marjoramhall::config
+
+#endif  // MARJORAMHALL_CONFIG_JSON_READER_H_
--- /dev/null
+++ b/tests/base/units_test.cc
@@ -0,0 +1,27 @@
+// Guards against durations and sizes that are read with a wrong unit.
+#include "src/base/units.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+namespace marjoramhall {
+namespace {
+
+RC_GTEST_PROP(UnitsTest, DurationReadsBackTheSame, ()) {
+  const Duration value(*rc::gen::inRange<int64_t>(0, int64_t{1} << 40));
+  RC_ASSERT(ParseDuration(FormatDuration(value)) == value);
+}
+
+TEST(UnitsTest, RejectsMissingAndWrongUnits) {
+  for (const char* it : {"", "5", "ms", "-5ms", "5 ms", "5MS", "1.5s", "5MB",
+                         "9223372036854775807s"}) {
+    EXPECT_FALSE(ParseDuration(it)) << it;
+  }
+  for (const char* it : {"", "5", "5mb", "5s", "-1MB", "99999999999999GB"}) {
+    EXPECT_FALSE(ParseSize(it)) << it;
+  }
+  EXPECT_EQ(ParseSize("2MB"), 2U << 20);
+}
+
+}  // namespace
+}  // namespace marjoramhall
