Add settings with all errors of a file in one run

Cause: a VM needs its addresses, keys and limits; an operator who fixes one fault at a time loses a restart for each. Keys, tokens and certificates are read from files and may be left out only while the addresses are loopback addresses.

--- /dev/null
+++ b/tests/settings/load_test.cc
@@ -0,0 +1,135 @@
+// Guards against settings faults that are reported one at a time, without
+// their line, or not at all, and against secrets in messages.
+#include "src/settings/load.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include <map>
+
+#include "src/settings/schema.h"
+
+namespace marjoramhall::settings {
+namespace {
+
+constexpr char kVm[] = "[vm]\nname = a\nfailure_domain = d\n";
+
+LoadResult LoadText(const std::string& text) {
+  const std::map<std::string, std::string> files = {
+      {"/site/vm.ini", text},
+      {"/site/key", "  0123456789abcdef0123\n"},
+      {"/site/short", "topsecret"},
+      {"/site/cert.pem", "certificate"},
+      {"/site/cert.key", "private key"}};
+  return Load(
+      "/site/vm.ini",
+      [&](const std::filesystem::path& path) -> std::optional<std::string> {
+        const auto it = files.find(path.lexically_normal().string());
+        if (it == files.end()) {
+          return std::nullopt;
+        }
+        return it->second;
+      });
+}
+
+std::string ErrorsOf(const std::string& text) {
+  std::string all;
+  for (const SettingsError& it : LoadText(text).errors) {
+    all += it.Text() + "\n";
+  }
+  return all;
+}
+
+TEST(LoadTest, NamesThreeFaultsWithTheirLines) {
+  EXPECT_EQ(ErrorsOf(std::string(kVm) + "[flow]\n"
+                                        "idle_timeout = 300\n"
+                                        "; a comment\n"
+                                        "  max_flws = 7\n"
+                                        "[wrong]\n"
+                                        "x = 1\n"),
+            "/site/vm.ini:5: [flow] idle_timeout: expected a duration from 1s "
+            "to 24h with a unit (ms, s, min or h)\n"
+            "/site/vm.ini:7: [flow] max_flws: expected a known key, but this "
+            "one is unknown\n"
+            "/site/vm.ini:8: [wrong]: expected a known section, but this one "
+            "is unknown\n");
+}
+
+TEST(LoadTest, NamesDuplicatesAndMissingKeys) {
+  const std::string errors = ErrorsOf(
+      "[vm]\nname = a\nname = b\n"
+      "[request]\nlisten = 127.0.0.1:9000\n"
+      "[operators]\nlisten = 0.0.0.0:9000\n"
+      "[control]\nseeds = 127.0.0.1:1, 127.0.0.1:1\n"
+      "nonsense\n[open\n" +
+      std::string(300, 'x') + " = 1\n");
+  for (const char* it :
+       {"vm.ini: [vm] failure_domain: expected this key, which is required",
+        "vm.ini:3: [vm] name: expected each key once, but it is also on line 2",
+        "vm.ini:7: [operators] listen: expected an address of its own",
+        "vm.ini:9: [control] seeds: expected each address once",
+        "vm.ini:10: [control]: expected [section] or key = value",
+        "vm.ini:11: [control]: expected [section] or key = value",
+        "vm.ini:12: [control]: expected a line of at most"}) {
+    EXPECT_NE(errors.find(it), std::string::npos) << it << " in\n" << errors;
+  }
+}
+
+TEST(LoadTest, SecretsAreReadFromFilesAndNotPrinted) {
+  const std::string base = kVm;
+  const LoadResult good = LoadText(base + "[control]\nkey_file = ./key\n");
+  ASSERT_TRUE(good.errors.empty());
+  EXPECT_EQ(good.settings.control.key.Reveal(), "0123456789abcdef0123");
+  const std::string errors =
+      ErrorsOf(base + "[operators]\ntoken_file = short\n");
+  EXPECT_NE(errors.find("at least 16"), std::string::npos) << errors;
+  EXPECT_EQ(errors.find("topsecret"), std::string::npos) << errors;
+}
+
+TEST(LoadTest, UnprotectedAddressesAreLoopbackOnly) {
+  const std::string open = std::string(kVm) +
+                           "[control]\nlisten = 10.0.0.1:7070\n"
+                           "[operators]\nlisten = 10.0.0.1:7071\n";
+  const std::string errors = ErrorsOf(open);
+  for (const char* it :
+       {"key_file", "token_file", "tls_certificate", "tls_key"}) {
+    EXPECT_NE(errors.find(it), std::string::npos) << errors;
+  }
+  EXPECT_EQ(ErrorsOf(open + "token_file = key\ntls_certificate = cert.pem\n"
+                            "tls_key = cert.key\n[control]\nkey_file = key\n"),
+            "");
+  EXPECT_NE(
+      ErrorsOf(std::string(kVm) + "[operators]\ntls_certificate = cert.pem\n"),
+      "");
+}
+
+TEST(LoadTest, EveryDefaultInTheTableIsAccepted) {
+  Settings settings;
+  const ReadFile read = ReadFileFromDisk;
+  for (const SettingEntry& it : Schema()) {
+    const std::string standard = it.standard;
+    if (standard.find(' ') == std::string::npos && standard != "required" &&
+        standard != "none") {
+      EXPECT_EQ(it.store(standard, {"/site", read}, &settings), "") << it.key;
+    }
+  }
+  const Settings defaults;
+  EXPECT_EQ(settings.flow.listen, defaults.flow.listen);
+  EXPECT_EQ(settings.flow.max_flows, defaults.flow.max_flows);
+  EXPECT_EQ(settings.flow.idle_timeout, defaults.flow.idle_timeout);
+  EXPECT_EQ(settings.operators.listen, defaults.operators.listen);
+  EXPECT_EQ(settings.limits.idempotency_answers,
+            defaults.limits.idempotency_answers);
+  EXPECT_EQ(settings.limits.control_rate, defaults.limits.control_rate);
+  EXPECT_EQ(settings.limits.stop_deadline, defaults.limits.stop_deadline);
+  EXPECT_EQ(settings.log.decisions, defaults.log.decisions);
+}
+
+RC_GTEST_PROP(LoadTest, AnyTextIsAnsweredWithErrorsOrSettings, ()) {
+  const auto text = *rc::gen::container<std::string>(rc::gen::element(
+      '[', ']', '=', '\n', 'a', 'v', 'm', ' ', ';', '\0', '\r', '\xff'));
+  RC_ASSERT(!LoadText(text).errors.empty());
+}
+
+}  // namespace
+}  // namespace marjoramhall::settings
