Add the decision log and the metrics registry

Cause: operators need one log line per decision without a wait on the traffic threads, and metrics for a scraper. Change: DecisionLog writes JSON lines through spdlog's bounded queue, which drops and counts its oldest lines when full; Maintain() logs the count. MetricsRegistry holds counters, Boost.Histogram histograms and values read at render time, and writes the Prometheus text format. The log level enums move from the settings to src/base/log_level.h.

--- a/src/settings/settings.h
+++ b/src/settings/settings.h
@@ -5,44 +5,16 @@
 
 #include <cstdint>
 #include <filesystem>
-#include <span>
 #include <string>
 #include <utility>
 #include <vector>
 
 #include "src/base/endpoint.h"
-#include "src/base/enum_names.h"
+#include "src/base/log_level.h"
 #include "src/base/time.h"
 
 namespace marjoramhall::settings {
 
-enum class LogLevel { kDebug, kInfo, kWarning, kError };
-inline constexpr EnumName<LogLevel> kLogLevelNames[] = {
-    {LogLevel::kDebug, "debug"},
-    {LogLevel::kInfo, "info"},
-    {LogLevel::kWarning, "warning"},
-    {LogLevel::kError, "error"},
-};
-constexpr std::span<const EnumName<LogLevel>> NamesOf(LogLevel) {
-  return kLogLevelNames;
-}
-
-// Which decisions go to the log.
-enum class DecisionLogging {
-  kNone,
-  // Refusals, drops, health, membership and configuration.
-  kRare,
-  kAll,
-};
-inline constexpr EnumName<DecisionLogging> kDecisionLoggingNames[] = {
-    {DecisionLogging::kNone, "none"},
-    {DecisionLogging::kRare, "rare"},
-    {DecisionLogging::kAll, "all"},
-};
-constexpr std::span<const EnumName<DecisionLogging>> NamesOf(DecisionLogging) {
-  return kDecisionLoggingNames;
-}
-
 // Text that must not be printed. It has no stream or format operator.
 class Secret {
  public:
