--- /dev/null
+++ b/lab/control_sim.h
@@ -0,0 +1,486 @@
+// The control plane of many VMs in virtual time: an event queue, a network and
+// a store with switchable faults. Header only, so that tests of the control
+// library and benchmarks can share it.
+#ifndef MARJORAMHALL_LAB_CONTROL_SIM_H_
+#define MARJORAMHALL_LAB_CONTROL_SIM_H_
+
+#include <algorithm>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <queue>
+#include <random>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "lab/control_sim_codec.h"
+#include "src/control/control_core.h"
+#include "src/control/store_table.h"
+#include "src/protocol/envelope.h"
+
+namespace marjoramhall::lab {
+
+struct SimFaults {
+  double loss = 0;
+  double repeat = 0;
+  // Upper bound of an extra random delay of each message.
+  Duration jitter{0};
+  bool store_down = false;
+  // Part of store calls that fail before, or whose answer is lost after, the
+  // call took effect.
+  double store_refuse = 0;
+  double store_lose_answer = 0;
+  Duration store_delay{0};
+  bool drop_watches = false;
+};
+
+class ControlSim {
+ public:
+  struct Vm {
+    std::string name;
+    std::unique_ptr<control::ControlCore> core;
+    std::unique_ptr<protocol::EnvelopeCodec> codec;
+    config::Member member;
+    // Rises with each start, so that events of an earlier process are dropped.
+    uint64_t process = 0;
+    bool paused = false;
+    bool store_blocked = false;
+    std::vector<std::function<void()>> held;
+    uint64_t sent_bytes = 0;
+    uint64_t sent_messages = 0;
+    Revision highest = 0;
+    TimePoint reached{};  // when the newest revision came into force
+  };
+
+  ControlSim(uint64_t seed, size_t vms, size_t domains, bool seal = false)
+      : seal_(seal), domains_(domains), random_(seed) {
+    for (size_t i = 0; i < vms; ++i) {
+      AddVm();
+    }
+  }
+
+  TimePoint now() const { return now_; }
+  size_t size() const { return vms_.size(); }
+  Vm& vm(size_t i) { return *vms_[i]; }
+  control::ControlCore& core(size_t i) { return *vms_[i]->core; }
+  bool running(size_t i) const { return vms_[i]->core != nullptr; }
+  control::StoreTable& store() { return store_; }
+  SimFaults& faults() { return faults_; }
+  control::ControlCoreOptions& options() { return options_; }
+  uint64_t store_calls(const std::string& kind) { return store_calls_[kind]; }
+  // Decisions in the order they were made, when recording is on.
+  void Record(std::vector<std::string>* lines) { record_ = lines; }
+  // Set when an accepted revision went back on some VM.
+  const std::string& violation() const { return violation_; }
+
+  size_t AddVm() {
+    const size_t i = vms_.size();
+    auto vm = std::make_unique<Vm>();
+    vm->name = "vm" + std::to_string(i);
+    vm->member.name = vm->name;
+    vm->member.id = config::VmIdOf(vm->name);
+    vm->member.domain = "zone" + std::to_string(i % domains_);
+    const auto ip = IpAddress::FromV4(0x0a000000 + static_cast<uint32_t>(i));
+    vm->member.control_endpoint = {ip, 7000};
+    vm->member.hop_endpoint = {ip, 7001};
+    vm->member.request_endpoint = {ip, 7002};
+    by_endpoint_[vm->member.control_endpoint] = i;
+    vms_.push_back(std::move(vm));
+    return i;
+  }
+
+  // Starts, or restarts, the process of a VM. A replaced VM has lost its
+  // content as a restarted one has: VMs are diskless.
+  void Start(size_t i) {
+    Vm& vm = *vms_[i];
+    vm.core.reset();
+    ++vm.process;
+    vm.paused = false;
+    vm.held.clear();
+    vm.highest = 0;
+    vm.member.incarnation =
+        1'700'000'000'000'000U +
+        static_cast<uint64_t>(now_.time_since_epoch().count());
+    vm.codec = std::make_unique<protocol::EnvelopeCodec>(
+        "sim", "key", vm.member.id, vm.member.incarnation);
+    control::ControlCoreOptions options = options_;
+    options.membership.seeds = Seeds();
+    control::ControlHooks hooks;
+    hooks.send = [this, i](const control::PeerAddress& to, PeerChannel channel,
+                           std::string payload) {
+      Transmit(i, to, channel, std::move(payload));
+    };
+    hooks.on_view = [this, i](const config::ControlViewPtr& view) {
+      OnView(i, *view);
+    };
+    hooks.decide = [this, i](const Decision& decision) {
+      OnDecision(i, decision);
+    };
+    hooks.clock = [this] { return now_; };
+    vm.core = std::make_unique<control::ControlCore>(
+        options, vm.member, StoreOf(i), SimCodec(), hooks, random_());
+    const uint64_t process = vm.process;
+    At(now_ + Duration(random_() % 50'000),
+       [this, i, process] { Tick(i, process); });
+  }
+  void StartAll() {
+    for (size_t i = 0; i < vms_.size(); ++i) {
+      Start(i);
+    }
+  }
+  void Kill(size_t i) {
+    vms_[i]->core.reset();
+    ++vms_[i]->process;
+    vms_[i]->held.clear();
+    vms_[i]->paused = false;
+  }
+  void Pause(size_t i, Duration span) {
+    Vm& vm = *vms_[i];
+    if (!vm.core || vm.paused) {
+      return;
+    }
+    vm.paused = true;
+    const uint64_t process = vm.process;
+    At(now_ + span, [this, i, process] {
+      Vm& it = *vms_[i];
+      if (it.process != process) {
+        return;
+      }
+      it.paused = false;
+      auto held = std::exchange(it.held, {});
+      for (auto& event : held) {
+        event();
+      }
+    });
+  }
+  // Cuts messages from one VM to another.
+  void Cut(size_t from, size_t to) { cuts_.insert({from, to}); }
+  // Puts each VM into a side; messages between sides are lost.
+  void Partition(const std::vector<int>& sides) { sides_ = sides; }
+  void Heal() {
+    cuts_.clear();
+    sides_.clear();
+    faults_ = SimFaults();
+    for (auto& vm : vms_) {
+      vm->store_blocked = false;
+    }
+  }
+
+  void Run(Duration span) {
+    const TimePoint end = now_ + span;
+    while (!events_.empty() && events_.top().at <= end) {
+      auto event = std::move(const_cast<Event&>(events_.top()));
+      events_.pop();
+      now_ = event.at;
+      event.action();
+    }
+    now_ = end;
+  }
+  // Runs until the condition holds, checked every 20 ms; returns the time
+  // taken, or nothing when `limit` passed first.
+  std::optional<Duration> RunUntil(const std::function<bool()>& condition,
+                                   Duration limit) {
+    const TimePoint start = now_;
+    while (!condition()) {
+      if (now_ - start >= limit) {
+        return std::nullopt;
+      }
+      Run(std::chrono::milliseconds(20));
+    }
+    return now_ - start;
+  }
+  void At(TimePoint at, std::function<void()> action) {
+    events_.push({at, ++event_count_, std::move(action)});
+  }
+
+  // True when each running VM sees exactly the running VMs, none suspected.
+  bool MembersAgree() {
+    size_t alive = 0;
+    for (const auto& vm : vms_) {
+      alive += vm->core ? 1 : 0;
+    }
+    return std::all_of(vms_.begin(), vms_.end(), [&](const auto& vm) {
+      if (!vm->core) {
+        return true;
+      }
+      const auto members = vm->core->membership().Members();
+      return members.size() == alive &&
+             std::all_of(members.begin(), members.end(), [](const auto& it) {
+               return it.state != config::MemberState::kSuspect;
+             });
+    });
+  }
+  // True when all running VMs hold the same revision with the same content.
+  bool ConfigurationsAgree(Revision at_least) {
+    const std::string* text = nullptr;
+    for (const auto& vm : vms_) {
+      if (!vm->core) {
+        continue;
+      }
+      const auto& gossip = vm->core->gossip();
+      if (gossip.current()->revision < at_least ||
+          (text != nullptr && *text != gossip.text())) {
+        return false;
+      }
+      text = &gossip.text();
+    }
+    return true;
+  }
+  uint64_t TotalRemovals() {
+    uint64_t n = 0;
+    for (const auto& vm : vms_) {
+      n += vm->core ? vm->core->membership().stats().removals : 0;
+    }
+    return n;
+  }
+
+ private:
+  struct Event {
+    TimePoint at;
+    uint64_t number;
+    std::function<void()> action;
+    bool operator<(const Event& other) const {
+      return std::pair(at, number) > std::pair(other.at, other.number);
+    }
+  };
+
+  bool Chance(double p) {
+    return p > 0 && std::uniform_real_distribution<double>(0, 1)(random_) < p;
+  }
+
+  std::vector<Endpoint> Seeds() const {
+    std::vector<Endpoint> result;
+    for (size_t i = 0; i < std::min<size_t>(4, vms_.size()); ++i) {
+      result.push_back(vms_[i]->member.control_endpoint);
+    }
+    return result;
+  }
+
+  void Tick(size_t i, uint64_t process) {
+    Vm& vm = *vms_[i];
+    if (vm.process != process) {
+      return;
+    }
+    if (!vm.paused) {
+      vm.core->OnTick();
+    }
+    At(now_ + std::chrono::milliseconds(50),
+       [this, i, process] { Tick(i, process); });
+  }
+
+  // Runs an event on a VM's control thread; a paused VM handles it later.
+  void Deliver(size_t i, uint64_t process, std::function<void()> action) {
+    Vm& vm = *vms_[i];
+    if (vm.process != process || !vm.core) {
+      return;
+    }
+    if (vm.paused) {
+      vm.held.push_back(std::move(action));
+    } else {
+      action();
+    }
+  }
+
+  void Transmit(size_t i,
+                const control::PeerAddress& to,
+                PeerChannel channel,
+                std::string payload) {
+    Vm& vm = *vms_[i];
+    if (seal_) {
+      payload = vm.codec->Seal(vm.core->membership().self().incarnation, to.id,
+                               to.incarnation, channel, std::move(payload));
+    }
+    vm.sent_bytes += payload.size();
+    ++vm.sent_messages;
+    const auto found = by_endpoint_.find(to.endpoint);
+    if (found == by_endpoint_.end()) {
+      return;
+    }
+    const size_t j = found->second;
+    const bool cut =
+        cuts_.contains({i, j}) || (!sides_.empty() && sides_[i] != sides_[j]);
+    if (cut || Chance(faults_.loss)) {
+      return;
+    }
+    const int copies = Chance(faults_.repeat) ? 2 : 1;
+    for (int n = 0; n < copies; ++n) {
+      Duration delay = std::chrono::microseconds(500);
+      if (faults_.jitter.count() > 0) {
+        delay +=
+            Duration(random_() % static_cast<uint64_t>(faults_.jitter.count()));
+      }
+      const uint64_t process = vms_[j]->process;
+      const bool addressed = to.id != VmId::kNone;
+      At(now_ + delay, [this, i, j, process, channel, addressed, payload] {
+        Deliver(j, process, [this, i, j, channel, addressed, payload] {
+          Receive(i, j, channel, addressed, payload);
+        });
+      });
+    }
+  }
+
+  void Receive(size_t i,
+               size_t j,
+               PeerChannel channel,
+               bool addressed,
+               const std::string& payload) {
+    Vm& vm = *vms_[j];
+    if (!seal_) {
+      vm.core->OnPeerMessage(vms_[i]->member.id, addressed, channel, payload);
+      return;
+    }
+    auto opened = vm.codec->Open(payload);
+    if (opened.error == protocol::EnvelopeError::kNone) {
+      vm.core->OnPeerMessage(opened.sender, opened.addressed, opened.channel,
+                             std::move(opened.payload));
+    }
+  }
+
+  // Applies the store's faults around one call. `call` does it at the store and
+  // returns the status and answer; `done` takes them at the VM.
+  template <typename Answer>
+  void CallStore(size_t i,
+                 const std::string& kind,
+                 std::function<std::pair<control::StoreStatus, Answer>()> call,
+                 std::function<void(control::StoreStatus, Answer)> done) {
+    ++store_calls_[kind];
+    const uint64_t process = vms_[i]->process;
+    const auto answer = [this, i, process, done](control::StoreStatus status,
+                                                 Answer value) {
+      const Duration delay = std::chrono::milliseconds(1) + faults_.store_delay;
+      At(now_ + delay, [this, i, process, done, status, value] {
+        Deliver(i, process, [done, status, value] { done(status, value); });
+      });
+    };
+    if (faults_.store_down || vms_[i]->store_blocked ||
+        Chance(faults_.store_refuse)) {
+      answer(control::StoreStatus::kUnavailable, Answer());
+      return;
+    }
+    const auto [status, value] = call();
+    const bool lost = Chance(faults_.store_lose_answer);
+    answer(lost ? control::StoreStatus::kUnknown : status, value);
+  }
+
+  control::StoreClient StoreOf(size_t i) {
+    using control::StoreStatus;
+    using control::StoreValue;
+    control::StoreClient result;
+    result.read = [this, i](const std::string& key, control::ReadDone done) {
+      CallStore<StoreValue>(
+          i, "read",
+          [this, key] { return std::pair(StoreStatus::kOk, store_.Read(key)); },
+          std::move(done));
+    };
+    result.compare_and_swap = [this, i](const std::string& key,
+                                        uint64_t expected, std::string value,
+                                        control::WriteDone done) {
+      CallStore<uint64_t>(
+          i, "write",
+          [this, key, expected, value] {
+            return store_.CompareAndSwap(key, expected, value);
+          },
+          std::move(done));
+    };
+    result.acquire_lease = [this, i](const std::string& name,
+                                     const std::string& holder, Duration ttl,
+                                     control::LeaseDone done) {
+      CallStore<control::StoreLease>(
+          i, "lease",
+          [this, name, holder, ttl] {
+            return store_.AcquireLease(name, holder, ttl, now_);
+          },
+          std::move(done));
+    };
+    result.watch = [this, i](const std::string& key, uint64_t known,
+                             Duration timeout, control::ReadDone done) {
+      WatchStore(i, key, known, timeout, std::move(done));
+    };
+    return result;
+  }
+
+  void WatchStore(size_t i,
+                  const std::string& key,
+                  uint64_t known,
+                  Duration timeout,
+                  control::ReadDone done) {
+    using control::StoreStatus;
+    const uint64_t process = vms_[i]->process;
+    if (faults_.store_down || vms_[i]->store_blocked) {
+      CallStore<control::StoreValue>(
+          i, "watch",
+          [] { return std::pair(StoreStatus::kOk, control::StoreValue()); },
+          std::move(done));
+      return;
+    }
+    ++store_calls_["watch"];
+    store_.Watch(
+        key, known, now_ + timeout,
+        [this, i, process, done](const control::StoreValue& value) {
+          if (faults_.drop_watches) {
+            return;
+          }
+          const bool up = !faults_.store_down && !vms_[i]->store_blocked;
+          const auto status = up ? StoreStatus::kOk : StoreStatus::kUnknown;
+          At(now_ + std::chrono::milliseconds(1) + faults_.store_delay,
+             [this, i, process, done, value, status] {
+               Deliver(i, process,
+                       [done, value, status] { done(status, value); });
+             });
+        });
+    At(now_ + timeout, [this] { store_.ExpireWatches(now_); });
+  }
+
+  void OnView(size_t i, const config::ControlView& view) {
+    Vm& vm = *vms_[i];
+    const Revision revision = view.deployment->revision;
+    if (revision < vm.highest) {
+      violation_ = vm.name + " went back to " + std::to_string(revision);
+    }
+    if (revision > vm.highest) {
+      vm.reached = now_;
+    }
+    vm.highest = revision;
+  }
+
+  void OnDecision(size_t i, const Decision& decision) {
+    if (record_ == nullptr) {
+      return;
+    }
+    std::string line = std::to_string(now_.time_since_epoch().count() / 1000) +
+                       "ms " + vms_[i]->name + " " +
+                       std::string(NameOf(decision.kind)) + " " +
+                       std::string(decision.outcome);
+    for (const std::string_view it : {decision.reason, decision.detail}) {
+      if (!it.empty()) {
+        line += " " + std::string(it);
+      }
+    }
+    line += " r" + std::to_string(decision.revision);
+    record_->push_back(std::move(line));
+  }
+
+  const bool seal_;
+  const size_t domains_;
+  std::mt19937_64 random_;
+  TimePoint now_{std::chrono::seconds(1)};
+  uint64_t event_count_ = 0;
+  std::priority_queue<Event> events_;
+  std::vector<std::unique_ptr<Vm>> vms_;
+  std::map<Endpoint, size_t> by_endpoint_;
+  std::set<std::pair<size_t, size_t>> cuts_;
+  std::vector<int> sides_;
+  SimFaults faults_;
+  control::ControlCoreOptions options_;
+  control::StoreTable store_;
+  std::map<std::string, uint64_t> store_calls_;
+  std::vector<std::string>* record_ = nullptr;
+  std::string violation_;
+};
+
+}  // namespace marjoramhall::lab
+
+#endif  // MARJORAMHALL_LAB_CONTROL_SIM_H_
--- /dev/null
+++ b/src/control/revision_propose.cc
@@ -0,0 +1,200 @@
+// Proposals: compare-and-swap, read-back after a lost answer, one result each.
+#include <algorithm>
+#include <utility>
+
+#include "src/control/revision_keeper.h"
+
+namespace marjoramhall::control {
+namespace {
+
+constexpr size_t kMaxQueued = 16;
+constexpr int kMaxFailures = 3;
+constexpr size_t kMaxValueBytes = 1'000'000;
+
+}  // namespace
+
+void RevisionKeeper::Propose(const config::Deployment& next,
+                             const std::string& change_id,
+                             ProposeDone done) {
+  auto it = std::make_shared<Proposal>();
+  it->lineage = next.lineage;
+  it->revision = next.revision;
+  it->change_id = change_id;
+  it->done = std::move(done);
+  it->deadline = clock_() + options_.propose_deadline;
+  it->text = gossip_.codec().format(next);
+  if (const Revision found = FindChange(change_id); found != 0) {
+    Finish(it, ProposeOutcome::kAccepted, found, "already in force");
+    return;
+  }
+  if (change_id.empty() || next.lineage.empty() || next.history.empty() ||
+      next.history.back().change_id != change_id) {
+    Finish(it, ProposeOutcome::kInvalid, 0,
+           "the proposal lacks its lineage or change record");
+    return;
+  }
+  if (it->text.size() > kMaxValueBytes) {
+    Finish(it, ProposeOutcome::kInvalid, 0,
+           "the configuration is larger than a store value may be");
+    return;
+  }
+  if (proposals_.size() >= kMaxQueued) {
+    Finish(it, ProposeOutcome::kUnavailable, 0, "too many proposals wait");
+    return;
+  }
+  proposals_.push_back(it);
+  if (proposals_.size() == 1) {
+    StartProposal(it);
+  }
+}
+
+// Returns the revision that recorded a change, or 0.
+Revision RevisionKeeper::FindChange(const std::string& change_id) const {
+  const auto& history = gossip_.current()->history;
+  const auto it = std::find_if(
+      history.rbegin(), history.rend(),
+      [&](const auto& record) { return record.change_id == change_id; });
+  return it == history.rend() ? 0 : it->revision;
+}
+
+void RevisionKeeper::TickProposal() {
+  const TimePoint now = clock_();
+  // Those behind the front one wait for it, but not beyond their deadlines.
+  while (!proposals_.empty()) {
+    const auto it = std::find_if(
+        proposals_.begin(), proposals_.end(),
+        [&](const ProposalPtr& entry) { return now >= entry->deadline; });
+    if (it == proposals_.end()) {
+      break;
+    }
+    const ProposalPtr expired = *it;
+    Finish(expired,
+           expired->maybe_written ? ProposeOutcome::kUnknown
+                                  : ProposeOutcome::kUnavailable,
+           gossip_.current()->revision, "the store did not answer in time");
+  }
+  if (!proposals_.empty()) {
+    const ProposalPtr front = proposals_.front();
+    if (!front->waiting && now >= front->retry_at) {
+      StartProposal(front);
+    }
+  }
+}
+
+void RevisionKeeper::StartProposal(const ProposalPtr& it) {
+  it->waiting = true;
+  if (it->maybe_written) {
+    ++stats_.read_backs;
+  }
+  store_.read(options_.key,
+              Guard([this, it](StoreStatus status, StoreValue value) {
+                if (it->done) {
+                  OnProposalRead(it, status, std::move(value));
+                }
+              }));
+}
+
+void RevisionKeeper::OnProposalRead(const ProposalPtr& it,
+                                    StoreStatus status,
+                                    StoreValue value) {
+  it->waiting = false;
+  if (status != StoreStatus::kOk) {
+    RetryProposal(it, "the store cannot be reached");
+    return;
+  }
+  last_contact_ = clock_();
+  const uint64_t version = value.version;
+  const AdoptResult adopted =
+      version == 0 ? (gossip_.current()->revision == 0 ? AdoptResult::kSame
+                                                       : AdoptResult::kOlder)
+                   : gossip_.Adopt(std::move(value.value), "store", clock_());
+  const Revision current = gossip_.current()->revision;
+  if (const Revision found = FindChange(it->change_id); found != 0) {
+    Finish(it, ProposeOutcome::kAccepted, found, "written");
+    return;
+  }
+  if (adopted != AdoptResult::kSame && adopted != AdoptResult::kAdopted) {
+    if (adopted == AdoptResult::kOlder && !repair_at_) {
+      OnOlderValue(version, false);
+    }
+    Finish(it,
+           it->maybe_written ? ProposeOutcome::kUnknown
+                             : ProposeOutcome::kUnavailable,
+           current,
+           adopted == AdoptResult::kOlder
+               ? "the store holds an older revision, which is being repaired"
+               : "the store holds a value that does not belong to the "
+                 "configuration in force");
+    return;
+  }
+  const bool successor =
+      current == 0 || (it->revision == current + 1 &&
+                       it->lineage == gossip_.current()->lineage);
+  if (!successor) {
+    // The history names the last changes only; a change that is older than
+    // that can no longer be told from one that was never written.
+    const bool forgotten =
+        it->maybe_written && current >= it->revision + config::kHistoryLimit;
+    Finish(it, forgotten ? ProposeOutcome::kUnknown : ProposeOutcome::kConflict,
+           current, "another revision is in force");
+    return;
+  }
+  WriteProposal(it, version);
+}
+
+// The same expected version is used again after a lost answer, so that at most
+// one of the writes takes effect, also when an earlier one arrives late.
+void RevisionKeeper::WriteProposal(const ProposalPtr& it, uint64_t version) {
+  it->waiting = true;
+  const bool before = std::exchange(it->maybe_written, true);
+  store_.compare_and_swap(
+      options_.key, version, it->text,
+      Guard([this, it, before](StoreStatus status, uint64_t) {
+        if (status == StoreStatus::kOk) {
+          // Accepted, even if the proposer was already told "unknown".
+          gossip_.Adopt(it->text, "proposal", clock_());
+        }
+        if (it->done) {
+          it->maybe_written = before || status == StoreStatus::kUnknown;
+          OnProposalWritten(it, status);
+        }
+      }));
+}
+
+void RevisionKeeper::OnProposalWritten(const ProposalPtr& it,
+                                       StoreStatus status) {
+  it->waiting = false;
+  if (status == StoreStatus::kOk) {
+    last_contact_ = clock_();
+    Finish(it, ProposeOutcome::kAccepted, it->revision, "written");
+  } else if (status == StoreStatus::kConflict) {
+    StartProposal(it);
+  } else {
+    RetryProposal(it, "the store did not take the write");
+  }
+}
+
+void RevisionKeeper::RetryProposal(const ProposalPtr& it,
+                                   std::string_view reason) {
+  if (++it->failures >= kMaxFailures && !it->maybe_written) {
+    Finish(it, ProposeOutcome::kUnavailable, gossip_.current()->revision,
+           reason);
+    return;
+  }
+  const int doublings = std::min(it->failures - 1, 4);
+  it->retry_at = clock_() + std::chrono::milliseconds(100) * (1 << doublings);
+}
+
+void RevisionKeeper::Finish(const ProposalPtr& it,
+                            ProposeOutcome outcome,
+                            Revision revision,
+                            std::string_view reason) {
+  std::erase(proposals_, it);
+  stats_.accepted += outcome == ProposeOutcome::kAccepted ? 1 : 0;
+  stats_.conflicts += outcome == ProposeOutcome::kConflict ? 1 : 0;
+  Log(NameOf(outcome), it->revision, it->change_id);
+  const ProposeDone done = std::exchange(it->done, nullptr);
+  done({outcome, revision, std::string(reason)});
+}
+
+}  // namespace marjoramhall::control
--- /dev/null
+++ b/src/control/store_table.h
@@ -0,0 +1,78 @@
+// The content of a key-value store with versions, compare-and-swap, leases and
+// watches: the pure part shared by the in-process store, the lab's stand-in and
+// simulations.
+#ifndef MARJORAMHALL_CONTROL_STORE_TABLE_H_
+#define MARJORAMHALL_CONTROL_STORE_TABLE_H_
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "src/control/store_client.h"
+
+namespace marjoramhall::control {
+
+// Largest value that the store takes.
+inline constexpr size_t kMaxStoreValueBytes = 1024 * 1024;
+
+// Not thread-safe.
+class StoreTable {
+ public:
+  using WatchDone = std::function<void(StoreValue)>;
+
+  StoreValue Read(const std::string& key) const;
+
+  // Writes when the key's version equals `expected` (0: must not exist).
+  // Returns kUnavailable for a value that is too large. Wakes watches.
+  std::pair<StoreStatus, uint64_t> CompareAndSwap(const std::string& key,
+                                                  uint64_t expected,
+                                                  std::string value);
+
+  std::pair<StoreStatus, StoreLease> AcquireLease(const std::string& name,
+                                                  const std::string& holder,
+                                                  Duration ttl,
+                                                  TimePoint now);
+
+  // Calls `done` as soon as the key's version differs from `known`, at once
+  // when it does already, or from ExpireWatches() after the deadline.
+  void Watch(const std::string& key,
+             uint64_t known,
+             TimePoint deadline,
+             WatchDone done);
+  void ExpireWatches(TimePoint now);
+  // Forgets all waiting watches without an answer.
+  void DropWatches() { watches_.clear(); }
+  size_t waiting_watches() const { return watches_.size(); }
+
+  // Replaces the whole content, as a restore from a backup does. Versions go on
+  // rising.
+  void Restore(const std::map<std::string, std::string>& content);
+  std::map<std::string, std::string> Content() const;
+
+ private:
+  struct Lease {
+    std::string holder;
+    uint64_t fencing = 0;
+    TimePoint expires;
+  };
+  struct Waiting {
+    std::string key;
+    uint64_t known = 0;
+    TimePoint deadline;
+    WatchDone done;
+  };
+
+  void WakeWatches();
+
+  std::map<std::string, StoreValue> values_;
+  std::map<std::string, Lease> leases_;
+  std::vector<Waiting> watches_;
+  uint64_t last_version_ = 0;
+};
+
+}  // namespace marjoramhall::control
+
+#endif  // MARJORAMHALL_CONTROL_STORE_TABLE_H_
