--- /dev/null
+++ b/src/request/request_options.h
@@ -0,0 +1,45 @@
+// Constants of the request plane core that a deployment may set.
+#ifndef MARJORAMHALL_REQUEST_REQUEST_OPTIONS_H_
+#define MARJORAMHALL_REQUEST_REQUEST_OPTIONS_H_
+
+#include <cstddef>
+
+#include "src/base/time.h"
+
+namespace marjoramhall::request {
+
+struct RequestPlaneOptions {
+  // Requests that may wait at this VM, per service and class.
+  size_t max_queue = 4096;
+  // Live requests of this VM over all services.
+  size_t max_requests = 65536;
+  // Share of a VM's slots that long work may not take.
+  double reserved_short = 0.25;
+  // Retries per first attempt.
+  double retry_ratio = 0.1;
+
+  // Least time between two slot reports or two grants to the same VM.
+  Duration report_interval = std::chrono::milliseconds(100);
+  // A VM that holds slots repeats its report this often to renew them.
+  Duration renew_interval = std::chrono::seconds(2);
+  // Longer than the removal of a dead allocator (about 5 s), so that a VM keeps
+  // its slots until the successor has rebuilt the table.
+  Duration slot_lease = std::chrono::seconds(8);
+  Duration slow_start = std::chrono::seconds(5);
+
+  // Retention of keys and the length of a history gap.
+  Duration key_retention = std::chrono::seconds(600);
+  size_t max_keys = 100000;
+  size_t max_answer_bytes = size_t{32} << 20;
+  // How long a backup may act for an owner that it cannot reach; the owner
+  // waits as long before it replaces a backup that it cannot reach.
+  Duration backup_lease = std::chrono::seconds(10);
+  // An owner that has lost sight of a VM grants no claim when the store has not
+  // confirmed its ownership for this long.
+  Duration ownership_confirm = std::chrono::seconds(300);
+  Duration claim_resend = std::chrono::milliseconds(100);
+};
+
+}  // namespace marjoramhall::request
+
+#endif  // MARJORAMHALL_REQUEST_REQUEST_OPTIONS_H_
