--- /dev/null
+++ b/src/request/dispatcher.cc
@@ -0,0 +1,77 @@
+// Choice of target.
+#include "src/request/dispatcher.h"
+
+#include <algorithm>
+
+namespace marjoramhall::request {
+
+void Dispatcher::SetTargets(const std::vector<config::Target>& targets,
+                            const std::string& own_domain) {
+  targets_.clear();
+  active_ = 0;
+  for (const config::Target& it : targets) {
+    targets_.emplace(it.id, Entry{it, it.domain == own_domain});
+    active_ += it.state == config::TargetState::kActive;
+  }
+}
+
+const config::Target* Dispatcher::Find(TargetId id) const {
+  const auto it = targets_.find(id);
+  return it == targets_.end() ? nullptr : &it->second.target;
+}
+
+TargetId Dispatcher::Pick(const SlotLedger& ledger,
+                          const TargetHealth& health,
+                          TargetId avoid,
+                          bool own_domain_only,
+                          TimePoint now) {
+  // One pass of weighted sampling for each class, by free slots.
+  uint64_t weights[2] = {0, 0};
+  TargetId picks[2] = {TargetId::kNone, TargetId::kNone};
+  bool avoided_is_free = false;
+  for (const SlotLedger::Slot& it : ledger.slots()) {
+    if (it.in_use >= it.limit) {
+      continue;
+    }
+    const auto entry = targets_.find(it.target);
+    if (entry == targets_.end() ||
+        entry->second.target.state != config::TargetState::kActive) {
+      continue;
+    }
+    const bool own = entry->second.own_domain;
+    const uint32_t allowed = health.Allowed(it.target, it.limit, now);
+    if ((own_domain_only && !own) || allowed <= it.in_use) {
+      continue;
+    }
+    if (it.target == avoid) {
+      avoided_is_free = true;
+      continue;
+    }
+    const uint64_t free = allowed - it.in_use;
+    weights[own] += free;
+    if (random_.Below(weights[own]) < free) {
+      picks[own] = it.target;
+    }
+  }
+  if (picks[1] != TargetId::kNone) {
+    return picks[1];
+  }
+  if (picks[0] != TargetId::kNone) {
+    return picks[0];
+  }
+  return avoided_is_free ? avoid : TargetId::kNone;
+}
+
+std::vector<TargetId> Dispatcher::OwnTargets() const {
+  std::vector<TargetId> result;
+  for (const auto& [id, entry] : targets_) {
+    if (entry.own_domain &&
+        entry.target.state == config::TargetState::kActive) {
+      result.push_back(id);
+    }
+  }
+  std::sort(result.begin(), result.end());
+  return result;
+}
+
+}  // namespace marjoramhall::request
--- /dev/null
+++ b/src/request/key_claims.cc
@@ -0,0 +1,258 @@
+// Claims of the entry VM.
+#include "src/request/key_claims.h"
+
+#include <algorithm>
+#include <utility>
+#include <vector>
+
+#include "src/protocol/request_control.pb.h"
+
+namespace marjoramhall::request {
+namespace {
+
+using protocol::KeyReply;
+using std::chrono::milliseconds;
+
+constexpr Duration kScanInterval = milliseconds(20);
+constexpr Duration kFirstOutcomeWait = milliseconds(100);
+constexpr Duration kLongestOutcomeWait = std::chrono::seconds(2);
+// A claim that no owner answers is refused after this time, or at the request's
+// deadline. Longer than a store round trip during a take-over.
+constexpr Duration kUnreachableAfter = std::chrono::seconds(3);
+
+// 503: this submission has not run.
+Refusal NotRun(RefusalReason reason) {
+  return {reason, Verdict::kNotRun, 503, std::chrono::seconds(1)};
+}
+
+// 409: an earlier submission with the key has run or may have.
+Refusal MayHaveRun(RefusalReason reason) {
+  return {reason, Verdict::kMayHaveRun, 409, Duration{0}};
+}
+
+}  // namespace
+
+KeyClaims::KeyClaims(const RequestPlaneOptions& options,
+                     KeyContext& context,
+                     ClaimHooks hooks)
+    : options_(options), context_(context), hooks_(std::move(hooks)) {}
+
+VmId KeyClaims::OwnerOf(const KeyName& name) const {
+  const KeyRangeRecord& record = context_.ranges[RangeOf(name)].record;
+  if (record.owner == context_.self ||
+      context_.MemberOf(record.owner) != nullptr) {
+    return record.owner;
+  }
+  return context_.MemberOf(record.backup) != nullptr ? record.backup
+                                                     : VmId::kNone;
+}
+
+void KeyClaims::SendClaim(RequestId id, Claim& claim, TimePoint now) {
+  claim.resend_at = now + options_.claim_resend;
+  const VmId owner = OwnerOf(claim.name);
+  if (owner == VmId::kNone) {
+    hooks_.owner_unknown();
+    return;
+  }
+  protocol::RequestMessage message;
+  protocol::KeyClaim* out = message.mutable_key_claim();
+  ToProto(claim.name, out->mutable_name());
+  ToProto(ClaimId{context_.self, context_.incarnation, id},
+          out->mutable_claim());
+  out->set_fingerprint(claim.fingerprint);
+  out->set_first_attempt(claim.first_attempt);
+  context_.send(owner, message);
+}
+
+void KeyClaims::Start(RequestId id,
+                      KeyName name,
+                      uint64_t fingerprint,
+                      bool first_attempt,
+                      Duration ttl,
+                      TimePoint now) {
+  Claim& claim = claims_[id];
+  claim.name = std::move(name);
+  claim.fingerprint = fingerprint;
+  claim.first_attempt = first_attempt;
+  claim.started_at = now;
+  claim.expires_at = now + ttl;
+  SendClaim(id, claim, now);
+}
+
+void KeyClaims::OnGranted(RequestId id,
+                          VmId from,
+                          const protocol::KeyReply& reply,
+                          TimePoint now) {
+  const auto it = claims_.find(id);
+  if (it != claims_.end()) {
+    if (!it->second.granted && now < it->second.expires_at) {
+      it->second.granted = true;
+      hooks_.granted(id, now);
+    }
+    return;
+  }
+  const auto ended = outbox_.find(id);
+  if (ended != outbox_.end()) {
+    SendOutcome(id, ended->second, now);
+    return;
+  }
+  // The claim ended before this grant, and if it had run, its outcome would
+  // have been acknowledged, which ends the key's claim for good. A release is
+  // ignored then.
+  protocol::RequestMessage message;
+  protocol::KeyOutcome* out = message.mutable_key_outcome();
+  *out->mutable_name() = reply.name();
+  *out->mutable_claim() = reply.claim();
+  out->set_outcome(protocol::KeyOutcome::NOT_RUN);
+  context_.send(from, message);
+}
+
+void KeyClaims::OnReply(VmId from,
+                        const protocol::KeyReply& reply,
+                        TimePoint now) {
+  const ClaimId claim_id = FromProto(reply.claim());
+  if (claim_id.vm != context_.self ||
+      claim_id.incarnation != context_.incarnation) {
+    return;
+  }
+  const RequestId id = claim_id.request;
+  if (reply.has_record()) {
+    hooks_.learn(reply, now);
+  }
+  if (reply.result() == KeyReply::GRANTED) {
+    OnGranted(id, from, reply, now);
+    return;
+  }
+  const auto it = claims_.find(id);
+  if (it == claims_.end() || it->second.granted) {
+    return;
+  }
+  switch (reply.result()) {
+    case KeyReply::NOT_OWNER:
+      // Asks the newly learnt owner at once, but not in a loop.
+      it->second.resend_at =
+          std::min(it->second.resend_at, now + kScanInterval);
+      break;
+    case KeyReply::BUSY:
+      it->second.busy = true;
+      break;
+    case KeyReply::MAY_HAVE_RUN:
+      hooks_.refused(id, MayHaveRun(RefusalReason::kKeyInUse), now);
+      break;
+    case KeyReply::ANSWERED:
+      hooks_.replay(id, FromProto(reply.answer()), now);
+      break;
+    case KeyReply::MISMATCH:
+      hooks_.refused(
+          id, {RefusalReason::kKeyMismatch, Verdict::kNotRun, 409, Duration{0}},
+          now);
+      break;
+    case KeyReply::HISTORY_LOST:
+      hooks_.refused(id, MayHaveRun(RefusalReason::kKeyHistoryLost), now);
+      break;
+    case KeyReply::FULL:
+      hooks_.refused(id, NotRun(RefusalReason::kOverload), now);
+      break;
+    default:
+      break;
+  }
+}
+
+Refusal KeyClaims::WhyWaiting(RequestId id) const {
+  const auto it = claims_.find(id);
+  return it != claims_.end() && it->second.busy
+             ? MayHaveRun(RefusalReason::kKeyInUse)
+             : NotRun(RefusalReason::kKeyOwnerUnreachable);
+}
+
+void KeyClaims::Finish(RequestId id,
+                       ClaimOutcome outcome,
+                       const StoredAnswer* answer,
+                       TimePoint now) {
+  const auto it = claims_.find(id);
+  if (it == claims_.end()) {
+    return;
+  }
+  Ended ended;
+  ended.name = std::move(it->second.name);
+  ended.fingerprint = it->second.fingerprint;
+  ended.outcome = outcome;
+  ended.has_answer = answer != nullptr;
+  if (answer != nullptr) {
+    ended.answer = *answer;
+  }
+  ended.ended_at = now;
+  ended.wait = kFirstOutcomeWait;
+  claims_.erase(it);
+  SendOutcome(id, outbox_[id] = std::move(ended), now);
+}
+
+void KeyClaims::SendOutcome(RequestId id, Ended& ended, TimePoint now) {
+  ended.resend_at = now + ended.wait;
+  ended.wait = std::min(ended.wait * 2, kLongestOutcomeWait);
+  const VmId owner = OwnerOf(ended.name);
+  if (owner == VmId::kNone) {
+    hooks_.owner_unknown();
+    return;
+  }
+  protocol::RequestMessage message;
+  protocol::KeyOutcome* out = message.mutable_key_outcome();
+  ToProto(ended.name, out->mutable_name());
+  ToProto(ClaimId{context_.self, context_.incarnation, id},
+          out->mutable_claim());
+  out->set_fingerprint(ended.fingerprint);
+  switch (ended.outcome) {
+    case ClaimOutcome::kNotRun:
+      out->set_outcome(protocol::KeyOutcome::NOT_RUN);
+      break;
+    case ClaimOutcome::kAnswered:
+      out->set_outcome(protocol::KeyOutcome::ANSWERED);
+      break;
+    case ClaimOutcome::kMayHaveRun:
+      out->set_outcome(protocol::KeyOutcome::MAY_HAVE_RUN);
+      break;
+  }
+  if (ended.has_answer) {
+    ToProto(ended.answer, out->mutable_answer());
+  }
+  context_.send(owner, message);
+}
+
+void KeyClaims::OnOutcomeAck(VmId, const protocol::KeyOutcomeAck& ack) {
+  const ClaimId claim = FromProto(ack.claim());
+  if (claim.vm == context_.self && claim.incarnation == context_.incarnation) {
+    outbox_.erase(claim.request);
+  }
+}
+
+void KeyClaims::Tick(TimePoint now) {
+  if (now - scanned_at_ < kScanInterval) {
+    return;
+  }
+  scanned_at_ = now;
+  std::vector<RequestId> unreachable;
+  for (auto& [id, claim] : claims_) {
+    if (claim.granted) {
+      continue;
+    }
+    if (!claim.busy && now - claim.started_at >= kUnreachableAfter) {
+      unreachable.push_back(id);
+    } else if (now >= claim.resend_at) {
+      SendClaim(id, claim, now);
+    }
+  }
+  std::sort(unreachable.begin(), unreachable.end());
+  for (const RequestId it : unreachable) {
+    hooks_.refused(it, WhyWaiting(it), now);
+  }
+  for (auto& [id, ended] : outbox_) {
+    if (now >= ended.resend_at) {
+      SendOutcome(id, ended, now);
+    }
+  }
+  std::erase_if(outbox_, [&](const auto& it) {
+    return now - it.second.ended_at >= options_.key_retention;
+  });
+}
+
+}  // namespace marjoramhall::request
--- /dev/null
+++ b/src/request/key_range_state.h
@@ -0,0 +1,77 @@
+// What this VM knows of one range of idempotency keys and its role there.
+#ifndef MARJORAMHALL_REQUEST_KEY_RANGE_STATE_H_
+#define MARJORAMHALL_REQUEST_KEY_RANGE_STATE_H_
+
+#include <array>
+#include <functional>
+#include <unordered_map>
+
+#include "src/base/time.h"
+#include "src/config/control_view.h"
+#include "src/request/key_name.h"
+
+namespace marjoramhall::protocol {
+class RequestMessage;
+}
+
+namespace marjoramhall::request {
+
+enum class RangeRole { kNone, kOwner, kBackup };
+
+// How far an owner's backup is. From kMarked on the backup may take over
+// without a history gap, so every grant needs its acknowledgement; before that
+// a take-over by it has a gap, and the owner may grant alone.
+enum class BackupSync { kAlone, kCopying, kMarked, kSynced };
+
+struct RangeState {
+  // Newest record known; epoch 0: never recorded.
+  KeyRangeRecord record;
+  // The role of this process. A record that names this VM gives no role when an
+  // earlier process of the VM held it, since its keys are gone.
+  RangeRole role = RangeRole::kNone;
+
+  // Owner.
+  BackupSync sync = BackupSync::kAlone;
+  Incarnation backup_incarnation = 0;  // of the process that acknowledges
+  uint64_t version = 0;
+  size_t unacked = 0;        // entries of the range whose `acked` is false
+  bool stopped = false;      // handing over; never grants again
+  bool recorded = true;      // false: taken over, not in the store yet
+  bool backup_lost = false;  // the backup's process is gone
+  bool copy_started = false;
+  TimePoint marked_at{};
+  // Until then only requests that declare their first attempt are run.
+  TimePoint gap_until{};
+
+  // Backup.
+  bool complete = false;  // holds every key of the owner
+  Incarnation owner_incarnation = 0;
+
+  // No role, although the record names this VM: since when.
+  TimePoint orphaned_at{};
+};
+
+using RangeStates = std::array<RangeState, kKeyRanges>;
+
+// What the units of the at-most-once ledger share.
+struct KeyContext {
+  VmId self = VmId::kNone;
+  Incarnation incarnation = 0;
+  config::ControlViewPtr view;
+  RangeStates ranges;
+  // Highest process incarnation seen in messages of a peer. Membership raises
+  // the incarnation of a live VM too, so it proves no restart.
+  std::unordered_map<VmId, Incarnation> peers;
+  std::function<void(VmId to, protocol::RequestMessage& message)> send;
+  // True while this VM may act as the owner of ranges (see RangeKeeper).
+  std::function<bool(TimePoint now)> may_own;
+  std::function<void(uint32_t range, const char* outcome)> decide;
+
+  const config::Member* MemberOf(VmId vm) const;
+  // False when the process is known to be gone.
+  bool ProcessAlive(VmId vm, Incarnation process) const;
+};
+
+}  // namespace marjoramhall::request
+
+#endif  // MARJORAMHALL_REQUEST_KEY_RANGE_STATE_H_
--- /dev/null
+++ b/src/request/range_keeper.cc
@@ -0,0 +1,423 @@
+// Ownership of key ranges.
+#include "src/request/range_keeper.h"
+
+#include <algorithm>
+#include <map>
+#include <utility>
+
+#include "src/config/rendezvous.h"
+#include "src/protocol/request_control.pb.h"
+
+namespace marjoramhall::request {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr Duration kTickInterval = milliseconds(100);
+// Ticks come every 10 ms; a longer silence means that the process was paused
+// and that others may have acted without it.
+constexpr Duration kPause = seconds(2);
+// VMs that start together find each other before they share out the ranges.
+constexpr Duration kStartDelay = milliseconds(300);
+// How long a restarted owner leaves its ranges to a backup that has their keys.
+constexpr Duration kOrphanGrace = seconds(3);
+constexpr Duration kFirstRetry = milliseconds(200);
+constexpr Duration kLongestRetry = seconds(5);
+// A lost answer of the adapter must not stop the keeper for ever.
+constexpr Duration kCallTimeout = seconds(10);
+constexpr Duration kHintInterval = seconds(1);
+constexpr Duration kHandoverInterval = milliseconds(200);
+constexpr Duration kBalanceInterval = seconds(5);
+constexpr size_t kMovesPerRound = 16;
+
+}  // namespace
+
+RangeKeeper::RangeKeeper(const RequestPlaneOptions& options,
+                         KeyContext& context,
+                         KeyOwner& owner,
+                         const RequestHooks& hooks)
+    : options_(options), context_(context), owner_(owner), hooks_(hooks) {
+  for (uint32_t i = 0; i < kKeyRanges; ++i) {
+    context_.ranges[i].record.range = i;
+  }
+}
+
+void RangeKeeper::OnView(TimePoint now) {
+  std::set<VmId> members;
+  for (const config::Member& it : context_.view->members) {
+    members.insert(it.id);
+  }
+  if (!std::includes(members.begin(), members.end(), seen_.begin(),
+                     seen_.end())) {
+    disturbed_ = true;
+    disturbed_at_ = now;
+  }
+  if (members != seen_) {
+    viewed_at_ = now;
+  }
+  if (first_view_at_ == TimePoint{}) {
+    first_view_at_ = now;
+  }
+  seen_ = std::move(members);
+}
+
+void RangeKeeper::NoteTime(TimePoint now) {
+  if (last_event_ != TimePoint{} && now - last_event_ > kPause) {
+    disturbed_ = true;
+    disturbed_at_ = now;
+  }
+  last_event_ = std::max(last_event_, now);
+}
+
+bool RangeKeeper::MayOwn(TimePoint now) const {
+  return !disturbed_ || now - confirmed_at_ < options_.ownership_confirm;
+}
+
+bool RangeKeeper::Usable(VmId vm) const {
+  const config::Member* member = context_.MemberOf(vm);
+  return member != nullptr && member->state != config::MemberState::kLeaving;
+}
+
+VmId RangeKeeper::PickBackup(uint32_t range) const {
+  const auto& members = context_.view->members;
+  VmId suspect = VmId::kNone;
+  for (const VmId it : config::RankMembers(config::RendezvousSpace::kKeyRange,
+                                           range, members, members.size())) {
+    if (it == context_.self || !Usable(it)) {
+      continue;
+    }
+    if (context_.MemberOf(it)->state == config::MemberState::kAlive) {
+      return it;
+    }
+    if (suspect == VmId::kNone) {
+      suspect = it;
+    }
+  }
+  return suspect;
+}
+
+void RangeKeeper::LoseRole(uint32_t index, const KeyRangeRecord& record) {
+  RangeState& range = context_.ranges[index];
+  const bool had_role = range.role != RangeRole::kNone;
+  const bool backs_up =
+      record.backup == context_.self && range.role != RangeRole::kNone;
+  range.record = record;
+  range.complete = false;
+  range.owner_incarnation = 0;
+  range.orphaned_at = TimePoint{};
+  range.stopped = false;
+  range.role = RangeRole::kNone;
+  if (had_role && !backs_up) {
+    owner_.EraseRange(index);
+  }
+}
+
+void RangeKeeper::BecomeOwner(uint32_t index,
+                              const KeyRangeRecord& record,
+                              TimePoint now) {
+  RangeState& range = context_.ranges[index];
+  // An owner that takes a range back after it had given it up does not know
+  // what the other VM granted meanwhile.
+  const bool has_history =
+      (range.role == RangeRole::kOwner && !range.stopped) ||
+      (range.role == RangeRole::kBackup && range.complete) || record.epoch == 1;
+  if (!has_history) {
+    range.gap_until = now + options_.key_retention + options_.ownership_confirm;
+  }
+  context_.decide(index, has_history ? "own" : "own-with-history-gap");
+  range.record = record;
+  range.role = RangeRole::kOwner;
+  range.stopped = false;
+  range.recorded = true;
+  range.backup_lost = false;
+  range.complete = false;
+  range.orphaned_at = TimePoint{};
+  if (record.backup == VmId::kNone) {
+    owner_.RunAlone(index);
+  } else {
+    owner_.StartCopy(index, now);
+  }
+}
+
+void RangeKeeper::TakeOver(uint32_t index, const char* why, TimePoint now) {
+  RangeState& range = context_.ranges[index];
+  context_.decide(index, why);
+  ++range.record.epoch;
+  range.record.owner = context_.self;
+  range.record.backup = VmId::kNone;
+  range.role = RangeRole::kOwner;
+  range.stopped = false;
+  range.recorded = false;
+  range.backup_lost = false;
+  range.complete = false;
+  owner_.RunAlone(index);
+  for (const config::Member& it : context_.view->members) {
+    if (it.id != context_.self) {
+      owner_.Announce(it.id, index);
+    }
+  }
+  retry_at_ = std::min(retry_at_, now + kTickInterval);
+}
+
+void RangeKeeper::Accept(const KeyRangeRecord& record,
+                         bool from_store,
+                         TimePoint now) {
+  if (record.range >= kKeyRanges) {
+    return;
+  }
+  RangeState& range = context_.ranges[record.range];
+  const bool newer = record.epoch > range.record.epoch;
+  const bool same = record.epoch == range.record.epoch;
+  if (record == range.record) {
+    range.recorded |= from_store;
+    return;
+  }
+  // The store decides between records of one epoch: only a take-over without it
+  // makes a second one.
+  if (!newer && !(same && from_store)) {
+    return;
+  }
+  const bool mine = record.owner == context_.self &&
+                    proposed_epochs_[record.range] == record.epoch;
+  if (mine) {
+    BecomeOwner(record.range, record, now);
+  } else {
+    LoseRole(record.range, record);
+  }
+}
+
+void RangeKeeper::OnRangesRecorded(bool ok,
+                                   const std::vector<KeyRangeRecord>& records,
+                                   TimePoint now) {
+  const StoreCall call = std::exchange(call_, StoreCall::kNone);
+  for (const KeyRangeRecord& it : records) {
+    Accept(it, true, now);
+  }
+  if (ok && call == StoreCall::kRecord) {
+    for (const KeyRangeRecord& it : proposed_) {
+      Accept(it, true, now);
+    }
+  }
+  proposed_.clear();
+  if (!ok) {
+    // A proposal that failed may have met another VM's record.
+    read_wanted_ |= call == StoreCall::kRecord;
+    retry_wait_ = std::clamp(retry_wait_ * 2, kFirstRetry, kLongestRetry);
+    retry_at_ = now + retry_wait_;
+    return;
+  }
+  retry_wait_ = Duration{0};
+  if (call == StoreCall::kRead) {
+    table_known_ = true;
+    read_wanted_ = false;
+  }
+  confirmed_at_ = std::max(confirmed_at_, called_at_);
+  if (disturbed_at_ <= called_at_) {
+    disturbed_ = false;
+  }
+}
+
+void RangeKeeper::OnAnnounce(const protocol::RangesAnnounce& announce,
+                             TimePoint now) {
+  for (const auto& it : announce.records()) {
+    Accept(FromProto(it), false, now);
+  }
+}
+
+void RangeKeeper::OnHandover(VmId from,
+                             const protocol::RangesHandover& handover,
+                             TimePoint now) {
+  protocol::RequestMessage answer;
+  for (const auto& it : handover.records()) {
+    const KeyRangeRecord record = FromProto(it);
+    if (record.range >= kKeyRanges) {
+      continue;
+    }
+    RangeState& range = context_.ranges[record.range];
+    if (handover.acknowledged()) {
+      if (range.role == RangeRole::kOwner && range.stopped &&
+          record.epoch == range.record.epoch && from == range.record.backup) {
+        context_.decide(record.range, "handed-over");
+        LoseRole(record.range, {record.range, record.epoch + 1, from});
+      }
+      continue;
+    }
+    if (range.role == RangeRole::kBackup && range.complete &&
+        range.record == record && from == record.owner) {
+      TakeOver(record.range, "take-over-by-hand-over", now);
+    }
+    if (range.role == RangeRole::kOwner && range.record.epoch > record.epoch) {
+      *answer.mutable_ranges_handover()->add_records() = it;
+    } else if (range.record.epoch > record.epoch) {
+      owner_.Announce(from, record.range);
+    }
+  }
+  if (answer.ranges_handover().records_size() > 0) {
+    answer.mutable_ranges_handover()->set_acknowledged(true);
+    context_.send(from, answer);
+  }
+}
+
+bool RangeKeeper::WantedAsOwner(uint32_t index,
+                                TimePoint now,
+                                KeyRangeRecord* out) {
+  RangeState& range = context_.ranges[index];
+  if (handing_over_ || (range.stopped && !range.backup_lost &&
+                        context_.MemberOf(range.record.backup) != nullptr)) {
+    return false;
+  }
+  const VmId best = PickBackup(index);
+  if (!range.recorded) {
+    *out = {index, range.record.epoch, context_.self, best};
+    return true;
+  }
+  *out = {index, range.record.epoch + 1, context_.self, best};
+  const VmId backup = range.record.backup;
+  if (backup == VmId::kNone || range.backup_lost || !Usable(backup)) {
+    return best != backup || range.backup_lost;
+  }
+  // Balancing: the range moves to the VM that ranks first, by way of backup.
+  const auto& members = context_.view->members;
+  const VmId first = config::RankMembers(config::RendezvousSpace::kKeyRange,
+                                         index, members, 1)[0];
+  if (first == context_.self || moves_left_ == 0 || !Usable(first) ||
+      now - viewed_at_ < kBalanceInterval) {
+    return false;
+  }
+  if (backup != first) {
+    --moves_left_;
+    return true;  // `best` is `first`, since this VM does not rank first
+  }
+  if (range.sync == BackupSync::kSynced) {
+    --moves_left_;
+    range.stopped = true;
+  }
+  return false;
+}
+
+bool RangeKeeper::WantedAsOther(uint32_t index,
+                                TimePoint now,
+                                KeyRangeRecord* out) {
+  RangeState& range = context_.ranges[index];
+  const VmId self = context_.self;
+  const VmId owner = range.record.owner;
+  const VmId backup = range.record.backup;
+  *out = {index, range.record.epoch + 1, self, PickBackup(index)};
+  if (range.role == RangeRole::kBackup) {
+    const auto peer = context_.peers.find(owner);
+    if (range.complete && peer != context_.peers.end() &&
+        peer->second > range.owner_incarnation) {
+      TakeOver(index, "take-over-from-ended-process", now);
+      return false;
+    }
+    return context_.MemberOf(owner) == nullptr;
+  }
+  if (owner == self && range.record.epoch > 0) {
+    if (range.orphaned_at == TimePoint{}) {
+      range.orphaned_at = now;
+    }
+    if (context_.MemberOf(backup) == nullptr) {
+      return true;
+    }
+    // Tells the backup that this is a new process.
+    owner_.Announce(backup, index);
+    return now - range.orphaned_at >= kOrphanGrace;
+  }
+  if (context_.MemberOf(owner) != nullptr) {
+    return false;
+  }
+  if (backup == self) {
+    return true;
+  }
+  return context_.MemberOf(backup) == nullptr &&
+         config::RankMembers(config::RendezvousSpace::kKeyRange, index,
+                             context_.view->members, 1)[0] == self;
+}
+
+bool RangeKeeper::Wanted(uint32_t range, TimePoint now, KeyRangeRecord* out) {
+  if (context_.ranges[range].role == RangeRole::kOwner) {
+    return WantedAsOwner(range, now, out);
+  }
+  return !handing_over_ && WantedAsOther(range, now, out);
+}
+
+void RangeKeeper::CallStore(TimePoint now) {
+  const bool owns = std::any_of(
+      context_.ranges.begin(), context_.ranges.end(),
+      [](const RangeState& it) { return it.role == RangeRole::kOwner; });
+  if (!table_known_ || read_wanted_ ||
+      (read_hint_ && now - called_at_ >= kHintInterval) ||
+      (owns && now - confirmed_at_ > options_.ownership_confirm / 3)) {
+    call_ = StoreCall::kRead;
+    called_at_ = now;
+    read_hint_ = false;
+    hooks_.read_ranges();
+    return;
+  }
+  std::vector<KeyRangeRecord> wanted;
+  for (uint32_t i = 0; i < kKeyRanges; ++i) {
+    KeyRangeRecord record;
+    if (Wanted(i, now, &record)) {
+      wanted.push_back(record);
+      proposed_epochs_[i] = record.epoch;
+    }
+  }
+  if (!wanted.empty()) {
+    call_ = StoreCall::kRecord;
+    called_at_ = now;
+    proposed_ = wanted;
+    hooks_.record_ranges(std::move(wanted));
+  }
+}
+
+void RangeKeeper::SendHandovers(TimePoint now) {
+  if (now - handed_at_ < kHandoverInterval) {
+    return;
+  }
+  handed_at_ = now;
+  std::map<VmId, protocol::RequestMessage> messages;
+  for (RangeState& it : context_.ranges) {
+    if (it.role != RangeRole::kOwner) {
+      continue;
+    }
+    it.stopped |= handing_over_ && it.sync == BackupSync::kSynced;
+    if (it.stopped) {
+      ToProto(
+          it.record,
+          messages[it.record.backup].mutable_ranges_handover()->add_records());
+    }
+  }
+  for (auto& [to, message] : messages) {
+    context_.send(to, message);
+  }
+}
+
+void RangeKeeper::Tick(TimePoint now) {
+  if (context_.view == nullptr || now - ticked_at_ < kTickInterval) {
+    return;
+  }
+  ticked_at_ = now;
+  SendHandovers(now);
+  if (call_ != StoreCall::kNone && now - called_at_ > kCallTimeout) {
+    call_ = StoreCall::kNone;
+    read_wanted_ = true;
+  }
+  if (now - balanced_at_ >= kBalanceInterval) {
+    balanced_at_ = now;
+    moves_left_ = kMovesPerRound;
+  }
+  if (call_ == StoreCall::kNone && now >= retry_at_ &&
+      now - first_view_at_ >= kStartDelay) {
+    CallStore(now);
+  }
+}
+
+bool RangeKeeper::HandedOver() const {
+  return std::none_of(
+      context_.ranges.begin(), context_.ranges.end(), [](const RangeState& it) {
+        return it.role == RangeRole::kOwner && it.record.backup != VmId::kNone;
+      });
+}
+
+}  // namespace marjoramhall::request
--- a/src/request/request_options.h
+++ b/src/request/request_options.h
@@ -31,9 +31,6 @@
   Duration key_retention = std::chrono::seconds(600);
   size_t max_keys = 100000;
   size_t max_answer_bytes = size_t{32} << 20;
-  // How long a backup may act for an owner that it cannot reach; the owner
-  // waits as long before it replaces a backup that it cannot reach.
-  Duration backup_lease = std::chrono::seconds(10);
   // An owner that has lost sight of a VM grants no claim when the store has not
   // confirmed its ownership for this long.
   Duration ownership_confirm = std::chrono::seconds(300);
--- /dev/null
+++ b/src/request/request_plane.cc
@@ -0,0 +1,486 @@
+// The facade: views, peer messages and time. The life of a request is in
+// request_lifecycle.cc.
+#include "src/request/request_plane.h"
+
+#include <algorithm>
+
+#include "src/config/rendezvous.h"
+#include "src/protocol/request_control.pb.h"
+#include "src/request/request_plane_impl.h"
+
+namespace marjoramhall::request {
+namespace {
+
+using protocol::RequestMessage;
+
+constexpr Duration kTrimInterval = std::chrono::seconds(5);
+constexpr Duration kHandoverTime = std::chrono::seconds(5);
+constexpr double kShareUnit = 65535;
+
+}  // namespace
+
+RequestPlane::Impl::Impl(RequestPlaneOptions options,
+                         VmId self,
+                         Incarnation incarnation,
+                         RequestHooks hooks,
+                         SendToPeer send,
+                         DecisionHook decide,
+                         uint64_t seed)
+    : options_(options),
+      hooks_(std::move(hooks)),
+      send_(std::move(send)),
+      decide_(std::move(decide)),
+      random_(seed),
+      key_owner_(options_, keys_),
+      range_keeper_(options_, keys_, key_owner_, hooks_),
+      key_claims_(options_, keys_, MakeClaimHooks()) {
+  keys_.self = self;
+  keys_.incarnation = incarnation;
+  keys_.send = [this](VmId to, RequestMessage& message) { Send(to, message); };
+  keys_.may_own = [this](TimePoint now) { return range_keeper_.MayOwn(now); };
+  keys_.decide = [this](uint32_t range, const char* outcome) {
+    Decision decision;
+    decision.kind = DecisionKind::kKeyRange;
+    decision.subject = range;
+    decision.vm = keys_.self;
+    decision.outcome = outcome;
+    decide_(decision);
+  };
+}
+
+ClaimHooks RequestPlane::Impl::MakeClaimHooks() {
+  ClaimHooks hooks;
+  hooks.granted = [this](RequestId id, TimePoint now) {
+    OnClaimGranted(id, now);
+  };
+  hooks.replay = [this](RequestId id, const StoredAnswer& answer,
+                        TimePoint now) {
+    if (RequestRecord* request = Find(id)) {
+      Replay(*request, answer, now);
+    }
+  };
+  hooks.refused = [this](RequestId id, const Refusal& refusal, TimePoint now) {
+    if (RequestRecord* request = Find(id)) {
+      Refuse(*request, refusal, now);
+    }
+  };
+  hooks.owner_unknown = [this] { range_keeper_.WantRead(); };
+  hooks.learn = [this](const protocol::KeyReply& reply, TimePoint now) {
+    protocol::RangesAnnounce announce;
+    *announce.add_records() = reply.record();
+    range_keeper_.OnAnnounce(announce, now);
+  };
+  return hooks;
+}
+
+RunnerHooks RequestPlane::Impl::MakeRunnerHooks(ServiceId id) {
+  RunnerHooks hooks;
+  hooks.find = [this](RequestId request) -> RequestRecord& {
+    return requests_.at(request);
+  };
+  hooks.start = [this](RequestRecord& request, const config::Target& target,
+                       TimePoint now) { StartAttempt(request, target, now); };
+  hooks.refuse = [this](RequestRecord& request, const Refusal& refusal,
+                        TimePoint now) { Refuse(request, refusal, now); };
+  hooks.health = [this, id](TargetId target, std::string_view outcome) {
+    Decision decision;
+    decision.kind = DecisionKind::kTargetHealth;
+    decision.service = id;
+    decision.target = target;
+    decision.vm = keys_.self;
+    decision.outcome = outcome;
+    decide_(decision);
+  };
+  return hooks;
+}
+
+void RequestPlane::Impl::OnView(config::ControlViewPtr view, TimePoint now) {
+  range_keeper_.NoteTime(now);
+  now_ = now;
+  if (view_ != nullptr) {
+    for (const config::Member& it : view_->members) {
+      const bool stays = std::any_of(
+          view->members.begin(), view->members.end(),
+          [&](const config::Member& other) { return other.id == it.id; });
+      lost_member_at_ = stays ? lost_member_at_ : now;
+    }
+  }
+  view_ = std::move(view);
+  keys_.view = view_;
+  if (const config::Member* self = keys_.MemberOf(keys_.self)) {
+    own_domain_ = self->domain;
+  }
+  range_keeper_.OnView(now);
+  UpdateServices(now);
+  Settle(now);
+}
+
+void RequestPlane::Impl::UpdateServices(TimePoint now) {
+  for (const config::Service& it : view_->deployment->services) {
+    ServiceState& state = services_[it.id];
+    if (state.runner == nullptr) {
+      state.runner = std::make_unique<ServiceRunner>(options_, it.id, random_,
+                                                     MakeRunnerHooks(it.id));
+    }
+  }
+  for (auto& [id, state] : services_) {
+    const auto& services = view_->deployment->services;
+    const auto it = std::find_if(
+        services.begin(), services.end(),
+        [&, wanted = id](const config::Service& s) { return s.id == wanted; });
+    if (it == services.end()) {
+      // Removed: running requests finish, waiting ones meet no target.
+      config::Service gone = state.runner->service();
+      gone.targets.clear();
+      state.runner->OnView(gone, own_domain_, view_->members.size(), now);
+      state.allocator.reset();
+      continue;
+    }
+    state.runner->OnView(*it, own_domain_, view_->members.size(), now);
+    UpdateAllocator(id, state, now);
+  }
+}
+
+void RequestPlane::Impl::UpdateAllocator(ServiceId id,
+                                         ServiceState& state,
+                                         TimePoint now) {
+  const std::vector<VmId> ranked =
+      config::RankMembers(config::RendezvousSpace::kSlotAllocator,
+                          ToInteger(id), view_->members, 1);
+  const VmId allocator = ranked.empty() ? VmId::kNone : ranked[0];
+  SlotLedger& ledger = state.runner->ledger();
+  ledger.SetAllocator(allocator, now);
+  if (allocator != keys_.self) {
+    state.allocator.reset();
+    return;
+  }
+  if (state.allocator == nullptr) {
+    state.allocator = std::make_unique<SlotAllocator>(
+        options_, id, ledger.epoch() + 1, now, lost_member_at_);
+  }
+  state.allocator->OnView(*view_, state.runner->service(), now);
+}
+
+void RequestPlane::Impl::Send(VmId to, RequestMessage& message) {
+  message.set_incarnation(keys_.incarnation);
+  std::string payload = message.SerializeAsString();
+  if (to == keys_.self) {
+    own_messages_.push_back(std::move(payload));
+    return;
+  }
+  ++stats_.peer_messages_sent;
+  stats_.peer_bytes_sent += payload.size();
+  send_(to, PeerChannel::kRequest, std::move(payload));
+}
+
+void RequestPlane::Impl::OnPeerMessage(VmId from,
+                                       std::string_view payload,
+                                       TimePoint now) {
+  range_keeper_.NoteTime(now);
+  now_ = now;
+  RequestMessage message;
+  if (!message.ParseFromArray(payload.data(),
+                              static_cast<int>(payload.size())) ||
+      message.body_case() == RequestMessage::BODY_NOT_SET) {
+    ++stats_.bad_peer_messages;
+    return;
+  }
+  Handle(from, message, now);
+  Settle(now);
+}
+
+void RequestPlane::Impl::Handle(VmId from,
+                                const RequestMessage& message,
+                                TimePoint now) {
+  if (from != keys_.self) {
+    Incarnation& known = keys_.peers[from];
+    if (message.incarnation() < known) {
+      return;  // from a process that has been replaced
+    }
+    if (message.incarnation() > known) {
+      known = message.incarnation();
+      key_owner_.OnPeerRestart(from, now);
+    }
+  }
+  if (!HandleSlots(from, message, now)) {
+    HandleKeys(from, message, now);
+  }
+}
+
+bool RequestPlane::Impl::HandleSlots(VmId from,
+                                     const RequestMessage& message,
+                                     TimePoint now) {
+  switch (message.body_case()) {
+    case RequestMessage::kSlotReport: {
+      const protocol::SlotReport& report = message.slot_report();
+      const auto it = services_.find(static_cast<ServiceId>(report.service()));
+      if (it == services_.end() || it->second.allocator == nullptr) {
+        return true;
+      }
+      if (report.epoch() > it->second.allocator->epoch()) {
+        // Another VM has been the allocator since; its table must be rebuilt.
+        it->second.allocator = std::make_unique<SlotAllocator>(
+            options_, it->first, report.epoch() + 1, now, lost_member_at_);
+        it->second.allocator->OnView(*view_, it->second.runner->service(), now);
+      }
+      it->second.allocator->OnReport(from, message.incarnation(), report, now);
+      return true;
+    }
+    case RequestMessage::kSlotGrant:
+      OnGrant(from, message.slot_grant(), now);
+      return true;
+    case RequestMessage::kSlotQuery:
+      if (ServiceRunner* runner = RunnerOf(
+              static_cast<ServiceId>(message.slot_query().service()))) {
+        runner->ledger().OnQuery(from);
+      }
+      return true;
+    default:
+      return false;
+  }
+}
+
+void RequestPlane::Impl::OnGrant(VmId from,
+                                 const protocol::SlotGrant& grant,
+                                 TimePoint now) {
+  const auto id = static_cast<ServiceId>(grant.service());
+  ServiceRunner* runner = RunnerOf(id);
+  if (runner == nullptr || from != runner->ledger().allocator()) {
+    return;
+  }
+  if (runner->ledger().OnGrant(from, grant, now)) {
+    Decision decision;
+    decision.kind = DecisionKind::kMoveSlots;
+    decision.service = id;
+    decision.vm = keys_.self;
+    decision.subject = runner->ledger().total_limit();
+    decision.outcome = "hold";
+    decide_(decision);
+  }
+  for (int i = 0; i < grant.kind_shares_size(); ++i) {
+    runner->limiter().SetKindShare(static_cast<size_t>(i),
+                                   grant.kind_shares(i) / kShareUnit);
+  }
+  for (const auto& it : grant.callers()) {
+    runner->limiter().SetCallerShare(it.kind(), it.caller(),
+                                     it.share() / kShareUnit);
+  }
+}
+
+void RequestPlane::Impl::HandleKeys(VmId from,
+                                    const RequestMessage& message,
+                                    TimePoint now) {
+  const Incarnation process = message.incarnation();
+  switch (message.body_case()) {
+    case RequestMessage::kKeyClaim:
+      key_owner_.OnClaim(from, message.key_claim(), now);
+      break;
+    case RequestMessage::kKeyReply:
+      key_claims_.OnReply(from, message.key_reply(), now);
+      break;
+    case RequestMessage::kKeyOutcome:
+      key_owner_.OnOutcome(from, message.key_outcome(), now);
+      break;
+    case RequestMessage::kKeyOutcomeAck:
+      key_claims_.OnOutcomeAck(from, message.key_outcome_ack());
+      break;
+    case RequestMessage::kKeyReplica:
+      key_owner_.OnReplica(from, process, message.key_replica(), now);
+      break;
+    case RequestMessage::kKeyReplicaAck:
+      key_owner_.OnReplicaAck(from, message.key_replica_ack(), now);
+      break;
+    case RequestMessage::kRangesSynced:
+      key_owner_.OnSynced(from, process, message.ranges_synced(), now);
+      break;
+    case RequestMessage::kRangesHandover:
+      if (view_ != nullptr) {
+        range_keeper_.OnHandover(from, message.ranges_handover(), now);
+      }
+      break;
+    case RequestMessage::kRangesAnnounce:
+      if (view_ != nullptr) {
+        range_keeper_.OnAnnounce(message.ranges_announce(), now);
+      }
+      break;
+    default:
+      ++stats_.bad_peer_messages;
+  }
+}
+
+void RequestPlane::Impl::OnRangesRecorded(
+    bool ok,
+    const std::vector<KeyRangeRecord>& records,
+    TimePoint now) {
+  range_keeper_.NoteTime(now);
+  now_ = now;
+  range_keeper_.OnRangesRecorded(ok, records, now);
+  Settle(now);
+}
+
+void RequestPlane::Impl::Settle(TimePoint now) {
+  // Bounded: a message to itself may cause another, but no loop of them is
+  // worth stalling the thread.
+  for (int n = 0; n < 1000 && !own_messages_.empty(); ++n) {
+    const std::string payload = std::move(own_messages_.front());
+    own_messages_.pop_front();
+    RequestMessage message;
+    if (message.ParseFromString(payload)) {
+      Handle(keys_.self, message, now);
+    }
+  }
+  for (auto& [id, state] : services_) {
+    if (!state.runner->queue().Empty()) {
+      state.runner->Pump(now);
+    }
+  }
+}
+
+void RequestPlane::Impl::TickSlots(TimePoint now) {
+  for (auto& [id, state] : services_) {
+    state.runner->CheckLease(now);
+    const auto report = state.runner->ledger().TakeReport(
+        state.runner->Demand(draining_, now), now);
+    if (report.has_value()) {
+      RequestMessage message;
+      *message.mutable_slot_report() = *report;
+      Send(state.runner->ledger().allocator(), message);
+    }
+    if (state.allocator == nullptr) {
+      continue;
+    }
+    SlotAllocator::Actions actions = state.allocator->Tick(now);
+    for (auto& [to, grant] : actions.grants) {
+      RequestMessage message;
+      *message.mutable_slot_grant() = std::move(grant);
+      Send(to, message);
+    }
+    for (const VmId it : actions.queries) {
+      RequestMessage message;
+      message.mutable_slot_query()->set_service(ToInteger(id));
+      message.mutable_slot_query()->set_epoch(state.allocator->epoch());
+      Send(it, message);
+    }
+  }
+}
+
+void RequestPlane::Impl::OnTick(TimePoint now) {
+  range_keeper_.NoteTime(now);
+  now_ = now;
+  ExpireDeadlines(now);
+  TickSlots(now);
+  range_keeper_.Tick(now);
+  key_owner_.Tick(now);
+  key_claims_.Tick(now);
+  if (now - trimmed_at_ >= kTrimInterval) {
+    trimmed_at_ = now;
+    for (auto& [id, state] : services_) {
+      state.runner->Trim(now);
+    }
+  }
+  Settle(now);
+  if (requests_.empty() && idle_since_ == TimePoint{}) {
+    idle_since_ = now;
+  }
+}
+
+void RequestPlane::Impl::BeginDrain(TimePoint now) {
+  now_ = now;
+  draining_ = true;
+  idle_since_ = TimePoint{};
+  range_keeper_.BeginHandover();
+}
+
+bool RequestPlane::Impl::IsDrained() const {
+  if (!draining_ || !requests_.empty() || idle_since_ == TimePoint{}) {
+    return false;
+  }
+  return (range_keeper_.HandedOver() && key_claims_.Settled()) ||
+         now_ - idle_since_ >= kHandoverTime;
+}
+
+RequestStats RequestPlane::Impl::Stats() const {
+  RequestStats stats = stats_;
+  stats.live_requests = requests_.size();
+  for (const auto& [id, state] : services_) {
+    const ServiceRunner& runner = *state.runner;
+    stats.waiting_short += runner.queue().Size(config::Priority::kShort);
+    stats.waiting_long += runner.queue().Size(config::Priority::kLong);
+    stats.slots_held += runner.ledger().total_limit();
+    stats.slots_in_use += runner.ledger().total_in_use();
+    stats.targets_ejected += runner.health().ejected();
+  }
+  for (const RangeState& it : keys_.ranges) {
+    stats.ranges_owned += it.role == RangeRole::kOwner;
+    stats.ranges_backed_up += it.role == RangeRole::kBackup;
+  }
+  stats.keys = key_owner_.table().size();
+  stats.key_answer_bytes = key_owner_.table().answer_bytes();
+  return stats;
+}
+
+RequestPlane::RequestPlane(RequestPlaneOptions options,
+                           VmId self,
+                           Incarnation incarnation,
+                           RequestHooks hooks,
+                           SendToPeer send,
+                           DecisionHook decide,
+                           uint64_t seed)
+    : impl_(std::make_unique<Impl>(options,
+                                   self,
+                                   incarnation,
+                                   std::move(hooks),
+                                   std::move(send),
+                                   std::move(decide),
+                                   seed)) {}
+
+RequestPlane::~RequestPlane() = default;
+
+void RequestPlane::OnView(config::ControlViewPtr view, TimePoint now) {
+  impl_->OnView(std::move(view), now);
+}
+
+void RequestPlane::OnPeerMessage(VmId from,
+                                 std::string_view payload,
+                                 TimePoint now) {
+  impl_->OnPeerMessage(from, payload, now);
+}
+
+void RequestPlane::OnRequest(const RequestInfo& info, TimePoint now) {
+  impl_->OnRequest(info, now);
+}
+
+void RequestPlane::OnAttemptEnd(RequestId id,
+                                uint32_t attempt,
+                                const AttemptResult& result,
+                                TimePoint now) {
+  impl_->OnAttemptEnd(id, attempt, result, now);
+}
+
+void RequestPlane::OnCallerGone(RequestId id, TimePoint now) {
+  impl_->OnCallerGone(id, now);
+}
+
+void RequestPlane::OnRangesRecorded(bool ok,
+                                    const std::vector<KeyRangeRecord>& records,
+                                    TimePoint now) {
+  impl_->OnRangesRecorded(ok, records, now);
+}
+
+void RequestPlane::OnTick(TimePoint now) {
+  impl_->OnTick(now);
+}
+
+void RequestPlane::BeginDrain(TimePoint now) {
+  impl_->BeginDrain(now);
+}
+
+bool RequestPlane::IsDrained() const {
+  return impl_->IsDrained();
+}
+
+RequestStats RequestPlane::Stats() const {
+  return impl_->Stats();
+}
+
+}  // namespace marjoramhall::request
--- /dev/null
+++ b/src/request/request_plane_impl.h
@@ -0,0 +1,139 @@
+// Inside of RequestPlane: the live requests, one runner a service, the slot
+// allocators that this VM runs, and the at-most-once ledger.
+#ifndef MARJORAMHALL_REQUEST_REQUEST_PLANE_IMPL_H_
+#define MARJORAMHALL_REQUEST_REQUEST_PLANE_IMPL_H_
+
+#include <deque>
+#include <map>
+#include <memory>
+#include <queue>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+#include "src/request/key_claims.h"
+#include "src/request/key_owner.h"
+#include "src/request/range_keeper.h"
+#include "src/request/request_plane.h"
+#include "src/request/service_runner.h"
+#include "src/request/slot_allocator.h"
+
+namespace marjoramhall::request {
+
+class RequestPlane::Impl {
+ public:
+  Impl(RequestPlaneOptions options,
+       VmId self,
+       Incarnation incarnation,
+       RequestHooks hooks,
+       SendToPeer send,
+       DecisionHook decide,
+       uint64_t seed);
+
+  void OnView(config::ControlViewPtr view, TimePoint now);
+  void OnPeerMessage(VmId from, std::string_view payload, TimePoint now);
+  void OnRequest(const RequestInfo& info, TimePoint now);
+  void OnAttemptEnd(RequestId id,
+                    uint32_t attempt,
+                    const AttemptResult& result,
+                    TimePoint now);
+  void OnCallerGone(RequestId id, TimePoint now);
+  void OnRangesRecorded(bool ok,
+                        const std::vector<KeyRangeRecord>& records,
+                        TimePoint now);
+  void OnTick(TimePoint now);
+  void BeginDrain(TimePoint now);
+  bool IsDrained() const;
+  RequestStats Stats() const;
+
+ private:
+  // A service as this VM runs it.
+  struct ServiceState {
+    std::unique_ptr<ServiceRunner> runner;
+    std::unique_ptr<SlotAllocator> allocator;
+  };
+
+  using Deadline = std::pair<TimePoint, RequestId>;
+
+  // request_plane.cc: view, messages, time.
+  RunnerHooks MakeRunnerHooks(ServiceId id);
+  ClaimHooks MakeClaimHooks();
+  void UpdateServices(TimePoint now);
+  void UpdateAllocator(ServiceId id, ServiceState& state, TimePoint now);
+  void Send(VmId to, protocol::RequestMessage& message);
+  void Handle(VmId from,
+              const protocol::RequestMessage& message,
+              TimePoint now);
+  bool HandleSlots(VmId from,
+                   const protocol::RequestMessage& message,
+                   TimePoint now);
+  void HandleKeys(VmId from,
+                  const protocol::RequestMessage& message,
+                  TimePoint now);
+  void OnGrant(VmId from, const protocol::SlotGrant& grant, TimePoint now);
+  // Handles messages to this VM itself, then starts what can start. Ends every
+  // event.
+  void Settle(TimePoint now);
+  void TickSlots(TimePoint now);
+
+  // request_lifecycle.cc: the life of a request.
+  void ExpireDeadlines(TimePoint now);
+  void StartAttempt(RequestRecord& request,
+                    const config::Target& target,
+                    TimePoint now);
+  void OnClaimGranted(RequestId id, TimePoint now);
+  // Ends the request without an answer of a target. The verdict is corrected
+  // when an attempt may have run. The record is gone afterwards.
+  void Refuse(RequestRecord& request, Refusal refusal, TimePoint now);
+  void Replay(RequestRecord& request,
+              const StoredAnswer& answer,
+              TimePoint now);
+  void EndAnswered(RequestRecord& request,
+                   const AttemptResult& result,
+                   TimePoint now);
+  void EndSilently(RequestRecord& request, TimePoint now);
+  void Forget(RequestRecord& request);
+  void RefuseNew(const RequestInfo& info, Refusal refusal, TimePoint now);
+  void Log(DecisionKind kind,
+           const RequestInfo& info,
+           TargetId target,
+           std::string_view outcome,
+           std::string_view reason) const;
+  RequestRecord* Find(RequestId id);
+  ServiceRunner* RunnerOf(ServiceId id);
+
+  RequestPlaneOptions options_;
+  RequestHooks hooks_;
+  SendToPeer send_;
+  DecisionHook decide_;
+  RandomSource random_;
+  RequestStats stats_;
+  TimePoint now_{};
+
+  config::ControlViewPtr view_;
+  std::string own_domain_;
+  // When a member was last seen to be removed.
+  TimePoint lost_member_at_{};
+  std::map<ServiceId, ServiceState> services_;
+  std::unordered_map<RequestId, RequestRecord> requests_;
+  // Every live request has an entry; entries of ended ones are skipped.
+  std::priority_queue<Deadline, std::vector<Deadline>, std::greater<>>
+      deadlines_;
+  // Messages of this VM to itself, handled when the event ends.
+  std::deque<std::string> own_messages_;
+
+  KeyContext keys_;
+  KeyOwner key_owner_;
+  RangeKeeper range_keeper_;
+  KeyClaims key_claims_;
+
+  bool draining_ = false;
+  TimePoint idle_since_{};  // while draining: when the last request ended
+  TimePoint trimmed_at_{};
+};
+
+}  // namespace marjoramhall::request
+
+#endif  // MARJORAMHALL_REQUEST_REQUEST_PLANE_IMPL_H_
--- /dev/null
+++ b/src/request/request_record.h
@@ -0,0 +1,37 @@
+// A live request at its entry VM.
+#ifndef MARJORAMHALL_REQUEST_REQUEST_RECORD_H_
+#define MARJORAMHALL_REQUEST_REQUEST_RECORD_H_
+
+#include "src/base/ids.h"
+#include "src/base/time.h"
+#include "src/config/deployment.h"
+#include "src/request/request_events.h"
+
+namespace marjoramhall::request {
+
+enum class RequestState {
+  kClaiming,    // waits for the grant of its key
+  kWaiting,     // in the admission queue
+  kRunning,     // an attempt is in flight
+  kCancelling,  // the attempt was cancelled and has not ended yet
+};
+
+struct RequestRecord {
+  RequestInfo info;
+  config::Priority priority = config::Priority::kShort;
+  bool idempotent = false;
+  bool keyed = false;
+  RequestState state = RequestState::kWaiting;
+  TimePoint arrived_at{};
+  TimePoint deadline{};
+  uint32_t attempts = 0;
+  TargetId target = TargetId::kNone;  // of the newest attempt
+  TimePoint started_at{};             // of the newest attempt
+  // Some attempt may have run. Such a request never ends as "not run".
+  bool may_have_run = false;
+  bool caller_gone = false;
+};
+
+}  // namespace marjoramhall::request
+
+#endif  // MARJORAMHALL_REQUEST_REQUEST_RECORD_H_
--- /dev/null
+++ b/src/request/target_health.cc
@@ -0,0 +1,142 @@
+// Health of targets from observed outcomes.
+#include "src/request/target_health.h"
+
+#include <algorithm>
+
+namespace marjoramhall::request {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+// A single failed connection may be a restart; three in a row without any
+// success between them are not chance.
+constexpr uint32_t kFailuresToEject = 3;
+constexpr Duration kFirstEjection = seconds(1);
+constexpr Duration kLongestEjection = seconds(30);
+constexpr Duration kFirstBackOff = milliseconds(20);
+constexpr Duration kLongestBackOff = seconds(1);
+constexpr Duration kRecovery = seconds(5);
+
+}  // namespace
+
+void TargetHealth::SetTargets(const std::vector<config::Target>& targets) {
+  std::unordered_map<TargetId, Entry> kept;
+  ejected_ = 0;
+  for (const config::Target& it : targets) {
+    const auto old = entries_.find(it.id);
+    Entry entry = old == entries_.end() ? Entry{} : old->second;
+    ejected_ +=
+        entry.state == State::kEjected || entry.state == State::kProbing;
+    kept.emplace(it.id, entry);
+  }
+  entries_ = std::move(kept);
+  max_ejected_ = targets.size() / 3;
+}
+
+uint32_t TargetHealth::Allowed(TargetId target,
+                               uint32_t slots,
+                               TimePoint now) const {
+  const auto it = entries_.find(target);
+  if (it == entries_.end()) {
+    return 0;
+  }
+  const Entry& entry = it->second;
+  if (now < entry.not_before) {
+    return 0;
+  }
+  switch (entry.state) {
+    case State::kHealthy:
+      break;
+    case State::kEjected:
+    case State::kProbing:
+      return std::min<uint32_t>(slots, 1);
+    case State::kSlowStart: {
+      const double part =
+          static_cast<double>((now - entry.recovered_at).count()) /
+          static_cast<double>(kRecovery.count());
+      return std::min<uint32_t>(
+          slots, 1 + static_cast<uint32_t>(std::min(part, 1.0) * slots));
+    }
+  }
+  // While backing off, half of the slots rest.
+  return entry.back_off > kFirstBackOff ? std::max(1U, slots / 2) : slots;
+}
+
+void TargetHealth::OnStart(TargetId target, TimePoint) {
+  const auto it = entries_.find(target);
+  if (it != entries_.end() && it->second.state == State::kEjected) {
+    it->second.state = State::kProbing;
+    hook_(target, "probe");
+  }
+}
+
+void TargetHealth::OnSuccess(TargetId target, TimePoint now) {
+  const auto it = entries_.find(target);
+  if (it == entries_.end()) {
+    return;
+  }
+  Entry& entry = it->second;
+  entry.failures = 0;
+  entry.back_off /= 2;
+  if (entry.state == State::kEjected || entry.state == State::kProbing) {
+    --ejected_;
+    entry.state = State::kSlowStart;
+    entry.not_before = now;
+    entry.recovered_at = now;
+    hook_(target, "recover");
+  } else if (entry.state == State::kSlowStart &&
+             now - entry.recovered_at > kRecovery) {
+    entry.state = State::kHealthy;
+    entry.ejections = 0;
+  }
+}
+
+void TargetHealth::OnShed(TargetId target, TimePoint now) {
+  const auto it = entries_.find(target);
+  if (it == entries_.end()) {
+    return;
+  }
+  Entry& entry = it->second;
+  entry.back_off =
+      std::clamp(entry.back_off * 2, kFirstBackOff, kLongestBackOff);
+  entry.not_before = std::max(entry.not_before, now + entry.back_off);
+}
+
+void TargetHealth::OnFailure(TargetId target, TimePoint now) {
+  const auto it = entries_.find(target);
+  if (it == entries_.end()) {
+    return;
+  }
+  Entry& entry = it->second;
+  ++entry.failures;
+  if (entry.state == State::kProbing || entry.state == State::kEjected) {
+    Eject(target, entry, now);
+  } else if (entry.failures >= kFailuresToEject) {
+    if (ejected_ < max_ejected_) {
+      ++ejected_;
+      Eject(target, entry, now);
+    } else {
+      // No more targets may be ejected; retry this one at a lower rate.
+      OnShed(target, now);
+    }
+  }
+}
+
+void TargetHealth::OnNeutral(TargetId target) {
+  const auto it = entries_.find(target);
+  if (it != entries_.end() && it->second.state == State::kProbing) {
+    it->second.state = State::kEjected;
+  }
+}
+
+void TargetHealth::Eject(TargetId target, Entry& entry, TimePoint now) {
+  entry.state = State::kEjected;
+  const Duration time =
+      std::min(kLongestEjection, kFirstEjection * (1U << entry.ejections));
+  entry.ejections = std::min(entry.ejections + 1, 5U);
+  entry.not_before = now + time;
+  hook_(target, "eject");
+}
+
+}  // namespace marjoramhall::request
