Add HTTP/2 sessions and the request path adapter

Callers and targets speak HTTP/2; the request plane core needs sessions that tell truthfully how a stream ended, and an adapter that streams bodies between them.

Http2Session wraps nghttp2 over Asio for both roles. Windows open only as the user gives bytes back, and the end of a client stream is one of complete, not sent, refused or broken.

--- /dev/null
+++ b/src/net/http2_io.cc
@@ -0,0 +1,295 @@
+// The socket side of a session: reading, writing, timers and the close.
+#include <algorithm>
+#include <array>
+#include <utility>
+
+#include <asio/buffer.hpp>
+#include <asio/post.hpp>
+
+#include "src/net/http2_session_impl.h"
+
+namespace marjoramhall::net {
+namespace {
+
+// Serialized output kept per session.
+constexpr size_t kOutputBytes = size_t{64} * 1024;
+// A session yields to others after this much output or this many reads.
+constexpr size_t kOutputTurn = size_t{512} * 1024;
+constexpr int kReadTurn = 4;
+// How long a closed session waits for the peer's end of the connection, so that
+// the system does not discard what the peer has yet to read.
+constexpr Duration kLinger = std::chrono::seconds(1);
+// The final GOAWAY follows the notice after this time when no PING came back.
+constexpr Duration kNoticeTimeout = std::chrono::milliseconds(500);
+
+// Shared by all sessions of a thread: nghttp2 takes the bytes in the same call.
+thread_local std::array<uint8_t, kOutputBytes> read_buffer;
+
+}  // namespace
+
+void Http2SessionImpl::Start() {
+  std::error_code ec;
+  socket_.non_blocking(true, ec);
+  socket_.set_option(asio::ip::tcp::no_delay(true), ec);
+  SubmitSettings();
+  ScheduleFlush();
+  ArmTimer();
+  WaitReadable();
+}
+
+void Http2SessionImpl::ScheduleFlush() {
+  if (closed_ || flush_posted_ || waiting_writable_) {
+    return;
+  }
+  flush_posted_ = true;
+  asio::post(socket_.get_executor(), [self = shared_from_this()] {
+    self->flush_posted_ = false;
+    self->Flush();
+  });
+}
+
+void Http2SessionImpl::Flush() {
+  if (closed_ || waiting_writable_) {
+    return;
+  }
+  const uint64_t stop = produced_ + kOutputTurn;
+  while (FillOutput() && output_pos_ < output_.size()) {
+    if (!WriteOutput()) {
+      return;
+    }
+    if (produced_ >= stop) {
+      ScheduleFlush();
+      return;
+    }
+  }
+  if (closed_) {
+    return;
+  }
+  if (close_after_flush_) {
+    Fail();
+    return;
+  }
+  CloseIfDone();
+}
+
+bool Http2SessionImpl::FillOutput() {
+  while (!closed_ && output_.size() - output_pos_ < kOutputBytes) {
+    const uint8_t* data = nullptr;
+    const ssize_t n = nghttp2_session_mem_send(session_, &data);
+    if (n < 0) {
+      Fail();
+      return false;
+    }
+    if (n == 0) {
+      break;
+    }
+    output_.append(reinterpret_cast<const char*>(data), static_cast<size_t>(n));
+    produced_ += static_cast<uint64_t>(n);
+    // Users hear of sent bytes outside of nghttp2's calls.
+    for (size_t i = 0; i < framed_.size(); ++i) {
+      const auto [id, bytes] = framed_[i];
+      Stream* stream = Find(id);
+      if (stream != nullptr && stream->hooks.on_sent) {
+        stream->hooks.on_sent(bytes);
+      }
+    }
+    framed_.clear();
+  }
+  return !closed_;
+}
+
+bool Http2SessionImpl::WriteOutput() {
+  while (output_pos_ < output_.size()) {
+    std::error_code ec;
+    const size_t n =
+        socket_.write_some(asio::buffer(output_.data() + output_pos_,
+                                        output_.size() - output_pos_),
+                           ec);
+    output_pos_ += n;
+    accepted_ += n;
+    counters_->bytes_sent += n;
+    if (ec == asio::error::would_block || ec == asio::error::try_again) {
+      WaitWritable();
+      return false;
+    }
+    if (ec) {
+      Fail();
+      return false;
+    }
+  }
+  output_.clear();
+  output_pos_ = 0;
+  if (streams_.empty()) {
+    output_.shrink_to_fit();
+  }
+  return true;
+}
+
+void Http2SessionImpl::WaitWritable() {
+  waiting_writable_ = true;
+  socket_.async_wait(asio::ip::tcp::socket::wait_write,
+                     [self = shared_from_this()](std::error_code ec) {
+                       self->waiting_writable_ = false;
+                       if (self->closed_ || ec) {
+                         return;
+                       }
+                       if (self->WriteOutput()) {
+                         self->Flush();
+                       }
+                     });
+}
+
+void Http2SessionImpl::WaitReadable() {
+  socket_.async_wait(asio::ip::tcp::socket::wait_read,
+                     [self = shared_from_this()](std::error_code ec) {
+                       if (!ec) {
+                         self->OnReadable();
+                       }
+                     });
+}
+
+void Http2SessionImpl::OnReadable() {
+  for (int i = 0; i < kReadTurn; ++i) {
+    std::error_code ec;
+    const size_t n = socket_.read_some(asio::buffer(read_buffer), ec);
+    if (ec == asio::error::would_block || ec == asio::error::try_again) {
+      break;
+    }
+    if (ec || n == 0) {
+      Fail();
+      CloseSocket();
+      return;
+    }
+    if (closed_) {
+      continue;  // lingering: discard until the peer closes
+    }
+    last_read_ = SteadyNow();
+    ping_open_ = false;
+    counters_->bytes_received += n;
+    const ssize_t used =
+        nghttp2_session_mem_recv(session_, read_buffer.data(), n);
+    if (used < 0 && !closed_) {
+      counters_->protocol_errors++;
+      Fail();
+      break;
+    }
+  }
+  Flush();
+  if (socket_.is_open()) {
+    WaitReadable();
+  }
+}
+
+void Http2SessionImpl::ArmTimer() {
+  const Duration step = std::clamp<Duration>(
+      std::min(limits_.idle_timeout, limits_.ping_after) / 4,
+      std::chrono::milliseconds(20), std::chrono::seconds(1));
+  timer_.expires_after(step);
+  timer_.async_wait([weak = weak_from_this()](std::error_code ec) {
+    const auto self = weak.lock();
+    if (self && !ec && !self->closed_) {
+      self->OnTimer();
+    }
+  });
+}
+
+void Http2SessionImpl::OnTimer() {
+  const TimePoint now = SteadyNow();
+  if (shutdown_noticed_ && now - shutdown_at_ > kNoticeTimeout) {
+    SendFinalGoaway();
+  }
+  if (!CheckLiveness(now)) {
+    Fail();
+    return;
+  }
+  ResetStalledStreams(now);
+  Flush();
+  if (!closed_) {
+    ArmTimer();
+  }
+}
+
+bool Http2SessionImpl::HasWork() const {
+  // A server stream with an incomplete head is no work yet: a peer that sends
+  // its head byte by byte is idle.
+  return std::any_of(streams_.begin(), streams_.end(), [this](const auto& it) {
+    return role_ == Http2Role::kClient || it.second.head_done;
+  });
+}
+
+bool Http2SessionImpl::CheckLiveness(TimePoint now) {
+  if (!HasWork()) {
+    if (now - last_stream_ > limits_.idle_timeout * 2) {
+      return false;
+    }
+    if (now - last_stream_ > limits_.idle_timeout) {
+      Shutdown();
+    }
+    return true;
+  }
+  if (ping_open_) {
+    return now - ping_sent_ <= limits_.ping_after;
+  }
+  if (now - last_read_ > limits_.ping_after) {
+    ping_open_ = true;
+    ping_sent_ = now;
+    nghttp2_submit_ping(session_, NGHTTP2_FLAG_NONE, nullptr);
+  }
+  return true;
+}
+
+void Http2SessionImpl::ResetStalledStreams(TimePoint now) {
+  std::vector<int32_t> stalled;
+  for (const auto& [id, it] : streams_) {
+    if (it.out_pos < it.out.size() &&
+        now - it.last_progress > limits_.stall_timeout) {
+      stalled.push_back(id);
+    }
+  }
+  for (const int32_t id : stalled) {
+    Reset(id, kHttp2Cancel);
+  }
+}
+
+void Http2SessionImpl::CloseIfDone() {
+  const bool ending = final_goaway_ || (draining_ && !shutdown_noticed_);
+  if (!closed_ && ending && !HasWork() && output_pos_ == output_.size() &&
+      nghttp2_session_want_write(session_) == 0) {
+    Fail();
+  }
+}
+
+void Http2SessionImpl::CloseSocket() {
+  std::error_code ec;
+  socket_.close(ec);
+  timer_.cancel();
+}
+
+void Http2SessionImpl::Fail() {
+  if (closed_) {
+    return;
+  }
+  closed_ = true;
+  std::error_code ec;
+  // What is already written still reaches the peer: closing at once would
+  // discard it when the peer's last bytes have not been read.
+  socket_.shutdown(asio::ip::tcp::socket::shutdown_send, ec);
+  timer_.expires_after(kLinger);
+  timer_.async_wait(
+      [self = shared_from_this()](std::error_code) { self->CloseSocket(); });
+  auto streams = std::make_shared<std::unordered_map<int32_t, Stream>>();
+  streams->swap(streams_);
+  asio::post(socket_.get_executor(), [self = shared_from_this(), streams] {
+    for (auto& [id, stream] : *streams) {
+      const StreamEnd end = self->EndOf(stream, kHttp2InternalError);
+      self->FinishStream(stream, end, kHttp2InternalError);
+    }
+    if (self->hooks_.on_closed) {
+      const auto on_closed = std::move(self->hooks_.on_closed);
+      on_closed();
+    }
+    self->hooks_ = {};
+  });
+}
+
+}  // namespace marjoramhall::net
--- /dev/null
+++ b/tests/net/http2_session_test.cc
@@ -0,0 +1,376 @@
+// Sessions over real loopback sockets: streaming, backpressure, and the truth
+// of every stream's end.
+#include <gtest/gtest.h>
+
+#include <rapidcheck/gtest.h>
+
+#include "tests/net/http2_test_util.h"
+
+namespace marjoramhall::net {
+namespace {
+
+using namespace testing;  // NOLINT(google-build-using-namespace)
+
+class Http2SessionTest : public ::testing::Test {
+ protected:
+  // Starts a server whose requests go to `on_request_`.
+  void StartServer() {
+    listener_ =
+        std::make_unique<Http2Listener>(io_, limits_, 100, counters_, [this] {
+          SessionHooks hooks;
+          hooks.on_request = [this](const Http2SessionPtr& session,
+                                    int32_t stream, MessageHead head) {
+            server_session_ = session;
+            requests_++;
+            return on_request_(session, stream, std::move(head));
+          };
+          return hooks;
+        });
+    ASSERT_EQ(listener_->Open(Loopback(0)), "");
+  }
+
+  Http2SessionPtr Connect(const Endpoint& to) {
+    Http2SessionPtr out;
+    bool done = false;
+    SessionHooks hooks;
+    hooks.on_draining = [this] { draining_ = true; };
+    hooks.on_closed = [this] { session_closed_ = true; };
+    ConnectHttp2(io_, to, std::chrono::seconds(5), limits_, counters_, hooks,
+                 [&](Http2SessionPtr it, const std::string& error) {
+                   EXPECT_EQ(error, "");
+                   out = std::move(it);
+                   done = true;
+                 });
+    EXPECT_TRUE(RunUntil(io_, [&] { return done; }));
+    return out;
+  }
+
+  // A raw target that has the client's request head.
+  std::shared_ptr<RawConnection> AwaitHead(RawServer& server) {
+    EXPECT_TRUE(RunUntil(
+        io_, [&] { return server.last && server.last->FramesOf(1) > 0; }));
+    server.last->Send(kSettings);
+    return server.last;
+  }
+
+  // The end a client stream reports after the raw target sent `answer`.
+  Seen EndAfter(const std::string& answer, bool close) {
+    RawServer server(io_);
+    const auto client = Connect(server.local());
+    auto seen = std::make_shared<Seen>();
+    client->Open(Get("/a"), true, Record(seen));
+    const auto target = AwaitHead(server);
+    target->Send(answer);
+    if (close) {
+      target->Close();
+    }
+    EXPECT_TRUE(RunUntil(io_, [&] { return seen->closes > 0; }));
+    Settle(io_);
+    EXPECT_EQ(seen->closes, 1);
+    return *seen;
+  }
+
+  asio::io_context io_;
+  Http2Limits limits_;
+  std::shared_ptr<Http2Counters> counters_ = std::make_shared<Http2Counters>();
+  std::unique_ptr<Http2Listener> listener_;
+  std::function<StreamHooks(Http2SessionPtr, int32_t, MessageHead)>
+      on_request_ = [](const Http2SessionPtr& session,
+                       int32_t stream,
+                       const MessageHead&) {
+        session->Respond(stream, {{":status", "200"}}, true);
+        return StreamHooks{};
+      };
+  Http2SessionPtr server_session_;
+  int requests_ = 0;
+  bool draining_ = false;
+  bool session_closed_ = false;
+};
+
+TEST_F(Http2SessionTest, EchoKeepsBodiesWholeAndApart) {
+  on_request_ = [](const Http2SessionPtr& session, int32_t stream,
+                   const MessageHead& head) {
+    session->Respond(stream,
+                     {{":status", "200"},
+                      {"x-path", std::string(FieldOf(head.fields, ":path"))}},
+                     false);
+    StreamHooks hooks;
+    hooks.on_body = [session, stream](std::string_view data) {
+      session->Write(stream, data);
+    };
+    hooks.on_sent = [session, stream](size_t n) {
+      session->Consume(stream, n);
+    };
+    hooks.on_end = [session, stream](const HeaderFields&) {
+      session->Finish(stream);
+    };
+    return hooks;
+  };
+  StartServer();
+  const auto client = Connect(listener_->local());
+  std::vector<std::shared_ptr<Seen>> seen;
+  std::vector<std::string> bodies;
+  for (int i = 0; i < 20; ++i) {
+    seen.push_back(std::make_shared<Seen>());
+    bodies.emplace_back(static_cast<size_t>(i) * 30'011,
+                        static_cast<char>('a' + i));
+    auto id = std::make_shared<int32_t>(0);
+    *id = client->Open(Post("/" + std::to_string(i)), false,
+                       Record(seen.back(), [client, id](size_t n) {
+                         client->Consume(*id, n);
+                       }));
+    ASSERT_GT(*id, 0);
+    client->Write(*id, bodies.back());
+    client->Finish(*id);
+  }
+  for (int i = 0; i < 20; ++i) {
+    ASSERT_TRUE(RunUntil(io_, [&] { return seen[i]->closes > 0; }));
+    EXPECT_EQ(seen[i]->end, StreamEnd::kComplete);
+    EXPECT_EQ(FieldOf(seen[i]->head.fields, "x-path"), "/" + std::to_string(i));
+    EXPECT_EQ(seen[i]->body, bodies[i]);
+  }
+  EXPECT_EQ(counters_->buffered, 0u);
+}
+
+// Guards against a receiver that grows without bound when its user is slow.
+TEST_F(Http2SessionTest, UnconsumedBodyIsBoundedByTheWindow) {
+  auto seen = std::make_shared<Seen>();
+  on_request_ = [&](const Http2SessionPtr&, int32_t, const MessageHead&) {
+    return Record(seen);
+  };
+  StartServer();
+  const auto client = Connect(listener_->local());
+  const int32_t id = client->Open(Post("/"), false, {});
+  client->Write(id, std::string(2 << 20, 'x'));
+  ASSERT_TRUE(
+      RunUntil(io_, [&] { return seen->body_bytes >= limits_.stream_window; }));
+  Settle(io_);
+  EXPECT_EQ(seen->body_bytes, limits_.stream_window);
+  EXPECT_GE(client->PendingBytes(id), (2u << 20) - limits_.stream_window);
+}
+
+TEST_F(Http2SessionTest, TrailersFollowTheBody) {
+  on_request_ = [](const Http2SessionPtr& session, int32_t stream,
+                   const MessageHead&) {
+    session->Respond(stream, {{":status", "200"}}, false);
+    session->Write(stream, "part");
+    session->Finish(stream, {{"x-sum", "7"}});
+    return StreamHooks{};
+  };
+  StartServer();
+  const auto client = Connect(listener_->local());
+  auto seen = std::make_shared<Seen>();
+  HeaderFields trailers;
+  StreamHooks hooks = Record(seen);
+  hooks.on_end = [&](HeaderFields it) { trailers = std::move(it); };
+  client->Open(Get("/"), true, hooks);
+  ASSERT_TRUE(RunUntil(io_, [&] { return seen->closes > 0; }));
+  EXPECT_EQ(seen->end, StreamEnd::kComplete);
+  EXPECT_EQ(seen->body, "part");
+  EXPECT_EQ(FieldOf(trailers, "x-sum"), "7");
+}
+
+TEST_F(Http2SessionTest, RefusedStreamIsNotRun) {
+  const Seen seen = EndAfter(Frame(3, 0, 1, Int32(7)), false);
+  EXPECT_EQ(seen.end, StreamEnd::kRefused);
+}
+
+TEST_F(Http2SessionTest, GoawayWithLowerIdIsNotRun) {
+  const Seen seen = EndAfter(Frame(7, 0, 0, Int32(0) + Int32(0)), false);
+  EXPECT_EQ(seen.end, StreamEnd::kRefused);
+  EXPECT_TRUE(draining_);
+}
+
+// GOAWAY that covers the stream: the peer may have worked on it.
+TEST_F(Http2SessionTest, GoawayWithSameIdThenLossMayHaveRun) {
+  const Seen seen = EndAfter(Frame(7, 0, 0, Int32(1) + Int32(0)), true);
+  EXPECT_EQ(seen.end, StreamEnd::kBroken);
+}
+
+TEST_F(Http2SessionTest, LossAfterTheRequestMayHaveRun) {
+  EXPECT_EQ(EndAfter("", true).end, StreamEnd::kBroken);
+}
+
+// A peer that first answers and then claims not to have run the request.
+TEST_F(Http2SessionTest, RefusalAfterAnAnswerIsNotBelieved) {
+  const Seen seen =
+      EndAfter(Frame(1, 4, 1, kStatus200) + Frame(3, 0, 1, Int32(7)), false);
+  EXPECT_EQ(seen.end, StreamEnd::kBroken);
+}
+
+TEST_F(Http2SessionTest, ClosedWithoutEndStreamIsNotComplete) {
+  const Seen seen =
+      EndAfter(Frame(1, 4, 1, kStatus200) + Frame(0, 0, 1, "abc"), true);
+  EXPECT_EQ(seen.end, StreamEnd::kBroken);
+  EXPECT_FALSE(seen.ended);
+}
+
+// RST_STREAM(NO_ERROR) without END_STREAM must not look like a whole answer.
+TEST_F(Http2SessionTest, ResetWithoutErrorIsNotComplete) {
+  const Seen seen =
+      EndAfter(Frame(1, 4, 1, kStatus200) + Frame(3, 0, 1, Int32(0)), false);
+  EXPECT_EQ(seen.end, StreamEnd::kBroken);
+}
+
+TEST_F(Http2SessionTest, ContentLengthMismatchIsNotComplete) {
+  // Literal field without indexing: content-length (static index 28).
+  const std::string head =
+      std::string(kStatus200) + std::string("\x0f\x0d\x02", 3) + "10";
+  const Seen seen =
+      EndAfter(Frame(1, 4, 1, head) + Frame(0, 1, 1, "abc"), false);
+  EXPECT_EQ(seen.end, StreamEnd::kBroken);
+  EXPECT_FALSE(seen.ended);
+}
+
+// Before the connection takes a byte, nothing was sent: Close() before the
+// first flush.
+TEST_F(Http2SessionTest, StreamThatNeverLeftIsNotSent) {
+  RawServer server(io_);
+  const auto client = Connect(server.local());
+  Settle(io_);
+  auto seen = std::make_shared<Seen>();
+  client->Open(Get("/"), true, Record(seen));
+  client->Close();
+  ASSERT_TRUE(RunUntil(io_, [&] { return seen->closes > 0; }));
+  EXPECT_EQ(seen->end, StreamEnd::kNotSent);
+  EXPECT_EQ(client->Open(Get("/"), true, {}), 0);
+}
+
+TEST_F(Http2SessionTest, ResetReachesThePeer) {
+  auto seen = std::make_shared<Seen>();
+  on_request_ = [&](const Http2SessionPtr&, int32_t, const MessageHead&) {
+    return Record(seen);
+  };
+  StartServer();
+  const auto client = Connect(listener_->local());
+  const int32_t id = client->Open(Get("/"), true, {});
+  ASSERT_TRUE(RunUntil(io_, [&] { return requests_ == 1; }));
+  client->Reset(id, kHttp2Cancel);
+  ASSERT_TRUE(RunUntil(io_, [&] { return seen->closes > 0; }));
+  EXPECT_EQ(seen->error_code, kHttp2Cancel);
+  EXPECT_EQ(seen->end, StreamEnd::kBroken);
+}
+
+// A graceful stop answers what was sent before the caller saw the GOAWAY.
+TEST_F(Http2SessionTest, ShutdownFinishesOpenAndLateStreams) {
+  std::vector<std::pair<Http2SessionPtr, int32_t>> held;
+  on_request_ = [&](const Http2SessionPtr& session, int32_t stream,
+                    const MessageHead&) {
+    held.emplace_back(session, stream);
+    return StreamHooks{};
+  };
+  StartServer();
+  const auto client = Connect(listener_->local());
+  auto first = std::make_shared<Seen>();
+  auto late = std::make_shared<Seen>();
+  client->Open(Get("/1"), true, Record(first));
+  ASSERT_TRUE(RunUntil(io_, [&] { return held.size() == 1; }));
+  listener_->Shutdown();
+  client->Open(Get("/2"), true, Record(late));
+  ASSERT_TRUE(RunUntil(io_, [&] { return held.size() == 2 && draining_; }));
+  EXPECT_FALSE(client->CanOpen());
+  for (const auto& [session, stream] : held) {
+    session->Respond(stream, {{":status", "200"}}, true);
+  }
+  ASSERT_TRUE(RunUntil(io_, [&] { return session_closed_; }));
+  EXPECT_EQ(first->end, StreamEnd::kComplete);
+  EXPECT_EQ(late->end, StreamEnd::kComplete);
+  EXPECT_TRUE(RunUntil(io_, [&] { return listener_->sessions() == 0; }));
+}
+
+TEST_F(Http2SessionTest, OversizedHeadIsMarked) {
+  bool oversized = false;
+  on_request_ = [&](const Http2SessionPtr& session, int32_t stream,
+                    const MessageHead& head) {
+    oversized = head.oversized;
+    session->Respond(stream, {{":status", "431"}}, true);
+    return StreamHooks{};
+  };
+  StartServer();
+  const auto client = Connect(listener_->local());
+  HeaderFields head = Get("/");
+  head.emplace_back("x-large", std::string(limits_.header_bytes, 'x'));
+  auto seen = std::make_shared<Seen>();
+  client->Open(head, true, Record(seen));
+  ASSERT_TRUE(RunUntil(io_, [&] { return seen->closes > 0; }));
+  EXPECT_TRUE(oversized);
+  EXPECT_EQ(FieldOf(seen->head.fields, ":status"), "431");
+}
+
+// A peer that has not acknowledged the limit yet is told "not run"; one that
+// has and breaks it loses its connection.
+TEST_F(Http2SessionTest, StreamsAboveTheLimitAreRefused) {
+  limits_.streams = 2;
+  on_request_ = [](const Http2SessionPtr&, int32_t, const MessageHead&) {
+    return StreamHooks{};
+  };
+  StartServer();
+  const auto raw = ConnectRaw(io_, listener_->local());
+  // ":method: GET", ":scheme: http", ":path: /", ":authority: a".
+  const std::string head = std::string("\x82\x86\x84\x41\x01", 5) + "a";
+  std::string bytes = std::string(kPreface) + kSettings;
+  for (const uint32_t id : {1, 3, 5}) {
+    bytes += Frame(1, 5, id, head);
+  }
+  raw->Send(bytes);
+  ASSERT_TRUE(RunUntil(io_, [&] { return raw->FramesOf(3) == 1; }));
+  EXPECT_EQ(requests_, 2);
+  EXPECT_NE(raw->received().find(Frame(3, 0, 5, Int32(7))), std::string::npos);
+}
+
+TEST_F(Http2SessionTest, IdleSessionsAreClosed) {
+  limits_.idle_timeout = std::chrono::milliseconds(50);
+  StartServer();
+  // One peer that never speaks, and one that sends a head without its end.
+  const auto silent = ConnectRaw(io_, listener_->local());
+  const auto slow = ConnectRaw(io_, listener_->local());
+  slow->Send(std::string(kPreface) + kSettings + Frame(1, 0, 1, "\x82\x86"));
+  EXPECT_TRUE(
+      RunUntil(io_, [&] { return silent->closed() && slow->closed(); }));
+}
+
+// A target host that vanished without a FIN must not hold its streams.
+TEST_F(Http2SessionTest, SilentPeerBreaksItsStreams) {
+  limits_.ping_after = std::chrono::milliseconds(60);
+  RawServer server(io_);
+  const auto client = Connect(server.local());
+  auto seen = std::make_shared<Seen>();
+  client->Open(Get("/"), true, Record(seen));
+  ASSERT_TRUE(RunUntil(io_, [&] { return seen->closes > 0; }));
+  EXPECT_EQ(seen->end, StreamEnd::kBroken);
+  EXPECT_EQ(server.last->FramesOf(6), 1);
+}
+
+// Garbage ends its own session only; another one on the same listener goes on.
+RC_GTEST_FIXTURE_PROP(Http2SessionTest, GarbageEndsOnlyItsSession, ()) {
+  StartServer();
+  const auto good = Connect(listener_->local());
+  const auto raw = ConnectRaw(io_, listener_->local());
+  std::string bytes;
+  if (*rc::gen::arbitrary<bool>()) {
+    bytes = std::string(kPreface) + kSettings;
+  }
+  const auto frames =
+      *rc::gen::container<std::vector<std::string>>(rc::gen::apply(
+          [](uint8_t type, uint8_t flags, uint32_t stream,
+             const std::string& payload) {
+            return Frame(type, flags, stream, payload);
+          },
+          rc::gen::inRange<uint8_t>(0, 12), rc::gen::arbitrary<uint8_t>(),
+          rc::gen::inRange<uint32_t>(0, 8), rc::gen::arbitrary<std::string>()));
+  for (const auto& it : frames) {
+    bytes += it;
+  }
+  bytes += *rc::gen::arbitrary<std::string>();
+  raw->Send(bytes);
+  auto seen = std::make_shared<Seen>();
+  good->Open(Get("/"), true, Record(seen));
+  RC_ASSERT(RunUntil(io_, [&] { return seen->closes > 0; }));
+  RC_ASSERT(seen->end == StreamEnd::kComplete);
+  raw->Close();
+  good->Close();
+  RC_ASSERT(RunUntil(io_, [&] { return listener_->sessions() == 0; }));
+}
+
+}  // namespace
+}  // namespace marjoramhall::net
