Add the flow plane core and its UDP adapter

Cause: packets of one flow reach any VM, and VMs hold different views during a change, so flows need a decision that all VMs follow. Change: packet parser, flow hash, 32-byte flow table, balanced weighted rendezvous placement, FlowRouter with owner, backup, settled leases, walks and replicated exceptions, hop header with SipHash checksum, and net::FlowPath with recvmmsg/sendmmsg batches. The owner's answer returns to the entry VM with the packet itself instead of a hint message.

--- /dev/null
+++ b/lab/flow_node.h
@@ -0,0 +1,83 @@
+// The small interface that every flow routing design has in virtual time: the
+// flow plane core and the baselines it is compared with.
+#ifndef MARJORAMHALL_LAB_FLOW_NODE_H_
+#define MARJORAMHALL_LAB_FLOW_NODE_H_
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <span>
+#include <string_view>
+#include <utility>
+
+#include "src/base/peer_channel.h"
+#include "src/flow/flow_router.h"
+
+namespace marjoramhall::lab {
+
+// One VM of a design.
+class FlowNode {
+ public:
+  virtual ~FlowNode() = default;
+  virtual void OnView(config::ControlViewPtr view, TimePoint now) = 0;
+  virtual flow::Route OnFabricPacket(std::span<const uint8_t> packet,
+                                     TimePoint now) = 0;
+  // `packet` is set to the IP packet in the datagram.
+  virtual flow::Route OnHopDatagram(std::span<const uint8_t> datagram,
+                                    std::span<const uint8_t>& packet,
+                                    TimePoint now) = 0;
+  virtual void OnPeerMessage(VmId from,
+                             std::string_view payload,
+                             TimePoint now) = 0;
+  virtual void OnTick(TimePoint now) = 0;
+  virtual uint64_t ControlBytes() const = 0;
+};
+
+using FlowNodeFactory =
+    std::function<std::unique_ptr<FlowNode>(VmId, Incarnation, SendToPeer)>;
+
+// The flow plane core.
+class RouterNode : public FlowNode {
+ public:
+  RouterNode(const flow::FlowOptions& options,
+             VmId self,
+             Incarnation incarnation,
+             SendToPeer send,
+             DecisionHook decide)
+      : router_(options,
+                self,
+                incarnation,
+                std::move(send),
+                std::move(decide),
+                ToInteger(self)) {}
+
+  void OnView(config::ControlViewPtr view, TimePoint now) override {
+    router_.OnView(std::move(view), now);
+  }
+  flow::Route OnFabricPacket(std::span<const uint8_t> packet,
+                             TimePoint now) override {
+    return router_.OnFabricPacket(packet, now);
+  }
+  flow::Route OnHopDatagram(std::span<const uint8_t> datagram,
+                            std::span<const uint8_t>& packet,
+                            TimePoint now) override {
+    return router_.OnHopDatagram(datagram, packet, now);
+  }
+  void OnPeerMessage(VmId from,
+                     std::string_view payload,
+                     TimePoint now) override {
+    router_.OnPeerMessage(from, payload, now);
+  }
+  void OnTick(TimePoint now) override { router_.OnTick(now); }
+  uint64_t ControlBytes() const override {
+    return router_.counters()[flow::FlowCounter::kControlBytes];
+  }
+  flow::FlowRouter& router() { return router_; }
+
+ private:
+  flow::FlowRouter router_;
+};
+
+}  // namespace marjoramhall::lab
+
+#endif  // MARJORAMHALL_LAB_FLOW_NODE_H_
--- /dev/null
+++ b/lab/flow_sim_model.h
@@ -0,0 +1,70 @@
+// Model of a simulated site: options, flows and its configuration.
+#ifndef MARJORAMHALL_LAB_FLOW_SIM_MODEL_H_
+#define MARJORAMHALL_LAB_FLOW_SIM_MODEL_H_
+
+#include <string>
+#include <vector>
+
+#include "src/base/time.h"
+#include "src/config/deployment.h"
+#include "src/flow/packet.h"
+
+namespace marjoramhall::lab {
+
+struct FlowSimOptions {
+  uint64_t seed = 1;
+  size_t vms = 7;
+  std::vector<size_t> targets = {14, 4};  // per service
+  Duration hop_delay = std::chrono::microseconds(500);
+  Duration tick = std::chrono::milliseconds(50);
+  // Upper bounds of random delays.
+  Duration view_delay = std::chrono::milliseconds(800);
+  Duration removal_delay = std::chrono::milliseconds(1500);
+  // Probabilities of faults per control message and hop datagram.
+  double control_loss = 0;
+  double control_repeat = 0;
+  Duration control_delay = std::chrono::milliseconds(2);
+  double hop_loss = 0;
+  double fabric_repeat = 0;
+  std::string shared_key = "lab";
+};
+
+// A TCP-like flow of a caller.
+struct SimFlow {
+  flow::FlowKey key;
+  uint32_t service = 0;
+  TargetId target = TargetId::kNone;
+  bool established = false;
+  bool closed = false;
+  bool broken = false;
+  TimePoint started;
+  TimePoint last_syn;
+};
+
+// One service per element with that many targets of equal weight.
+inline config::Deployment MakeSimDeployment(
+    uint64_t seed,
+    const std::vector<size_t>& targets_of) {
+  config::Deployment deployment;
+  deployment.lineage = "sim-" + std::to_string(seed);
+  deployment.revision = 1;
+  for (size_t s = 0; s < targets_of.size(); ++s) {
+    config::Service service;
+    service.id = static_cast<ServiceId>(deployment.next_service_id++);
+    service.name = "service-" + std::to_string(s);
+    service.flow_address = {IpAddress::FromV4(0xc0000200 + s), 443};
+    for (size_t t = 0; t < targets_of[s]; ++t) {
+      config::Target target;
+      target.id = static_cast<TargetId>(deployment.next_target_id++);
+      target.flow_endpoint = {
+          IpAddress::FromV4(0x7f000000 + ToInteger(target.id)), 6080};
+      service.targets.push_back(target);
+    }
+    deployment.services.push_back(service);
+  }
+  return deployment;
+}
+
+}  // namespace marjoramhall::lab
+
+#endif  // MARJORAMHALL_LAB_FLOW_SIM_MODEL_H_
--- /dev/null
+++ b/src/flow/flow_table.cc
@@ -0,0 +1,80 @@
+// Insertion and removal in the flow table.
+#include "src/flow/flow_table.h"
+
+#include <algorithm>
+#include <bit>
+#include <new>
+
+namespace marjoramhall::flow {
+namespace {
+
+// Slots looked at for an entry to displace. Longer scans cost more than they
+// gain: entries near the slot are a random sample.
+constexpr size_t kEvictionWindow = 16;
+
+}  // namespace
+
+FlowTable::FlowTable(size_t limit)
+    : limit_(std::max<size_t>(limit, 1)),
+      mask_(std::bit_ceil(std::max<size_t>(limit_ + limit_ / 3, 64)) - 1) {
+  // calloc leaves untouched pages unbacked; FlowEntry is all zero when free.
+  slots_.reset(
+      static_cast<FlowEntry*>(std::calloc(mask_ + 1, sizeof(FlowEntry))));
+  if (!slots_) {
+    throw std::bad_alloc();
+  }
+}
+
+FlowEntry* FlowTable::Insert(const FlowHash& hash) {
+  if (size_ >= limit_) {
+    return nullptr;
+  }
+  size_t i = hash.high & mask_;
+  while (slots_[i].hash.high != 0) {
+    i = (i + 1) & mask_;
+  }
+  slots_[i] = FlowEntry{};
+  slots_[i].hash = hash;
+  ++size_;
+  return &slots_[i];
+}
+
+FlowEntry* FlowTable::InsertEvicting(const FlowHash& hash) {
+  if (FlowEntry* entry = Insert(hash)) {
+    return entry;
+  }
+  FlowEntry* victim = nullptr;
+  size_t i = hash.high & mask_;
+  for (size_t n = 0; n < kEvictionWindow || victim == nullptr; ++n) {
+    FlowEntry& slot = slots_[i];
+    if (slot.hash.high != 0 && (!victim || slot.seen < victim->seen)) {
+      victim = &slot;
+    }
+    i = (i + 1) & mask_;
+  }
+  Erase(victim);
+  return Insert(hash);
+}
+
+void FlowTable::Erase(FlowEntry* entry) {
+  size_t hole = static_cast<size_t>(entry - slots_.get());
+  size_t i = hole;
+  // Backward shift: moves later entries of the chain up, so that lookups need
+  // no tombstones.
+  while (true) {
+    i = (i + 1) & mask_;
+    if (slots_[i].hash.high == 0) {
+      break;
+    }
+    const size_t home = slots_[i].hash.high & mask_;
+    const size_t distance = (i - home) & mask_;
+    if (distance >= ((i - hole) & mask_)) {
+      slots_[hole] = slots_[i];
+      hole = i;
+    }
+  }
+  slots_[hole] = FlowEntry{};
+  --size_;
+}
+
+}  // namespace marjoramhall::flow
--- /dev/null
+++ b/src/net/flow_path.h
@@ -0,0 +1,88 @@
+// Adapter of the flow plane: takes packets from the fabric and from other VMs
+// over UDP, routes them with flow::FlowRouter and sends them on in batches.
+#ifndef MARJORAMHALL_NET_FLOW_PATH_H_
+#define MARJORAMHALL_NET_FLOW_PATH_H_
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "src/base/decision.h"
+#include "src/base/endpoint.h"
+#include "src/base/peer_channel.h"
+#include "src/config/control_view.h"
+#include "src/flow/flow_counters.h"
+#include "src/flow/flow_options.h"
+
+namespace asio {
+class io_context;
+}
+
+namespace marjoramhall::net {
+
+struct FlowPathOptions {
+  VmId self = VmId::kNone;
+  Incarnation incarnation = 0;
+  Endpoint fabric_endpoint;  // packets from the fabric, GUE variant 1
+  Endpoint hop_endpoint;     // packets from other VMs
+  flow::FlowOptions flow;
+  // Largest datagram sent on. A packet that exceeds it is dropped and answered
+  // with an ICMP error. 8972 fits a jumbo frame of 9000 bytes; 1472 an Ethernet
+  // frame of 1500.
+  size_t max_datagram = 8972;
+  uint64_t seed = 0;
+};
+
+// Copy of the counters, taken every 10 ms.
+struct FlowStats {
+  flow::FlowCounters counters;
+  uint64_t packets_in = 0;  // from the fabric
+  uint64_t hops_in = 0;     // from other VMs
+  uint64_t to_targets = 0;
+  uint64_t to_peers = 0;
+  uint64_t truncated = 0;    // datagrams above kMaxDatagram
+  uint64_t too_large = 0;    // packets above max_datagram
+  uint64_t send_failed = 0;  // refused by the system
+  size_t entries = 0;
+  size_t half_open = 0;
+  size_t exceptions = 0;
+  size_t managed_buckets = 0;
+  Revision revision = 0;
+};
+
+// Members are called on the thread of the io_context, except where stated.
+class FlowPath {
+ public:
+  // `decide` is called on the flow thread for each new flow.
+  FlowPath(asio::io_context& io,
+           FlowPathOptions options,
+           SendToPeer send,
+           DecisionHook decide);
+  ~FlowPath();
+  FlowPath(const FlowPath&) = delete;
+  FlowPath& operator=(const FlowPath&) = delete;
+
+  // Opens both sockets and starts receiving. Returns an error that names the
+  // address, or an empty string. May be called before the io_context runs.
+  std::string Open();
+
+  // Bound addresses after Open().
+  Endpoint FabricEndpoint() const;
+  Endpoint HopEndpoint() const;
+
+  // Safe from any thread.
+  void PostView(config::ControlViewPtr view);
+  void PostPeerMessage(VmId from, std::string payload);
+  // Stops receiving and calls `done` on the flow thread.
+  void PostStop(std::function<void()> done);
+  FlowStats Snapshot() const;
+
+ private:
+  class Impl;
+  std::shared_ptr<Impl> impl_;
+};
+
+}  // namespace marjoramhall::net
+
+#endif  // MARJORAMHALL_NET_FLOW_PATH_H_
--- /dev/null
+++ b/src/protocol/hop_header.h
@@ -0,0 +1,133 @@
+// The header in front of a packet that one VM forwards to another over the hop
+// socket. It says what the receiver has to do with the packet and which
+// decision has been made so far.
+#ifndef MARJORAMHALL_PROTOCOL_HOP_HEADER_H_
+#define MARJORAMHALL_PROTOCOL_HOP_HEADER_H_
+
+#include <array>
+#include <cstddef>
+#include <cstdint>
+#include <span>
+#include <string_view>
+
+#include "src/base/enum_names.h"
+#include "src/base/ids.h"
+
+namespace marjoramhall::protocol {
+
+enum class HopKind : uint8_t {
+  // To the owner: the first packet of a flow; `target` is the sender's proposal
+  // under `revision`.
+  kFirst = 1,
+  // To the owner: a packet of a flow that the origin does not know, or (with
+  // kHopClaim) one that the origin asks to confirm.
+  kAsk = 2,
+  // To the owner (kHopToOwner) or the backup: record flow -> `target`, then
+  // pass the packet on.
+  kRecord = 3,
+  // To the owner: the backup knows a newer revision and decided `target`.
+  kCorrect = 4,
+  // Send the packet to `target`; the origin also keeps the answer.
+  kDeliver = 5,
+  // To each live VM in turn: does it know the flow?
+  kWalk = 6,
+  // To the owner: no VM knew the flow.
+  kWalkEnd = 7,
+  // To the owner of the fragment's bucket: a fragment of an IP packet.
+  kFragment = 8,
+};
+inline constexpr EnumName<HopKind> kHopKindNames[] = {
+    {HopKind::kFirst, "first"},      {HopKind::kAsk, "ask"},
+    {HopKind::kRecord, "record"},    {HopKind::kCorrect, "correct"},
+    {HopKind::kDeliver, "deliver"},  {HopKind::kWalk, "walk"},
+    {HopKind::kWalkEnd, "walk-end"}, {HopKind::kFragment, "fragment"},
+};
+constexpr std::span<const EnumName<HopKind>> NamesOf(HopKind) {
+  return kHopKindNames;
+}
+
+// Bits of HopHeader::flags.
+// kAsk: the origin has an entry for `target`.
+inline constexpr uint8_t kHopClaim = 1;
+// kRecord: the receiver is the owner and passes the packet on to the backup.
+inline constexpr uint8_t kHopToOwner = 2;
+// kRecord: return the packet to the origin as kDeliver instead of sending it to
+// the target, so that the origin learns the answer.
+inline constexpr uint8_t kHopAnswerOrigin = 4;
+// kRecord: the packet opens a flow that has just been decided.
+inline constexpr uint8_t kHopFresh = 8;
+// kRecord: the packet ends the flow.
+inline constexpr uint8_t kHopClose = 16;
+// kWalk: VMs that are not suspect have been asked; suspect ones follow.
+inline constexpr uint8_t kHopSuspects = 32;
+// kDeliver: do not keep the answer.
+inline constexpr uint8_t kHopNoEntry = 64;
+
+// Fields are host integers; the wire form is little-endian.
+struct HopHeader {
+  HopKind kind = HopKind::kFirst;
+  uint8_t flags = 0;
+  uint8_t hops = 0;  // hops taken so far
+  ServiceId service = ServiceId::kNone;
+  TargetId target = TargetId::kNone;
+  Revision revision = 0;        // configuration under which target was decided
+  VmId origin = VmId::kNone;    // VM that got the packet from the fabric
+  VmId sender = VmId::kNone;    // VM that sent this datagram
+  Incarnation incarnation = 0;  // of the sender
+  uint32_t origin_tick = 0;     // origin's clock, for the age of answers
+  // Ports of the flow; a fragment after the first does not carry them.
+  uint16_t source_port = 0;
+  uint16_t destination_port = 0;
+
+  bool operator==(const HopHeader&) const = default;
+};
+
+// Bytes of the header on the wire: magic 2, version 1, kind 1, flags 1, hops 1,
+// payload length 2, service 4, target 4, revision 8, origin 8, sender 8,
+// incarnation 8, origin tick 4, ports 2 + 2, checksum 8.
+inline constexpr size_t kHopHeaderSize = 64;
+
+// Key of the checksum, equal on all VMs of a deployment.
+using HopKey = std::array<uint64_t, 2>;
+
+// Derives the key from the shared secret (SHA-256 with a fixed prefix).
+HopKey DeriveHopKey(std::string_view shared_key);
+
+enum class HopError {
+  kNone,
+  kTooShort,
+  kMagic,
+  kVersion,
+  kKind,
+  kLength,
+  kChecksum,
+};
+inline constexpr EnumName<HopError> kHopErrorNames[] = {
+    {HopError::kNone, "none"},         {HopError::kTooShort, "too-short"},
+    {HopError::kMagic, "magic"},       {HopError::kVersion, "version"},
+    {HopError::kKind, "kind"},         {HopError::kLength, "length"},
+    {HopError::kChecksum, "checksum"},
+};
+constexpr std::span<const EnumName<HopError>> NamesOf(HopError) {
+  return kHopErrorNames;
+}
+
+// Writes kHopHeaderSize bytes to `out`. The checksum (SipHash-2-4) covers the
+// header and the first 64 bytes of `packet`. Cost: about 100 ns.
+void EncodeHopHeader(const HopHeader& header,
+                     const HopKey& key,
+                     std::span<const uint8_t> packet,
+                     uint8_t* out);
+
+// Checks a received datagram and reads its header. The packet is the rest of
+// the datagram. `header` is unspecified on error.
+HopError DecodeHopHeader(std::span<const uint8_t> datagram,
+                         const HopKey& key,
+                         HopHeader& header);
+
+// SipHash-2-4 (Aumasson and Bernstein 2012), a keyed 64-bit checksum.
+uint64_t SipHash24(const HopKey& key, std::span<const uint8_t> data);
+
+}  // namespace marjoramhall::protocol
+
+#endif  // MARJORAMHALL_PROTOCOL_HOP_HEADER_H_
--- /dev/null
+++ b/tests/flow/router_test.cc
@@ -0,0 +1,95 @@
+// Guards the promises of the flow plane over several VMs: no misroute, no
+// broken flow at planned changes or a kill, no new flow on a draining target.
+#include "src/flow/flow_router.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include "lab/flow_sim.h"
+
+namespace marjoramhall::flow {
+namespace {
+
+using lab::FlowSim;
+using lab::FlowSimOptions;
+
+FlowOptions Options() {
+  FlowOptions options;
+  options.table_limit = 4096;
+  options.idle_timeout = std::chrono::seconds(20);
+  options.confirm_interval = std::chrono::seconds(5);
+  options.shared_key = "lab";
+  return options;
+}
+
+lab::FlowNodeFactory Factory(const FlowOptions& options) {
+  return [options](VmId self, Incarnation incarnation, SendToPeer send) {
+    return std::make_unique<lab::RouterNode>(options, self, incarnation,
+                                             std::move(send), DecisionHook());
+  };
+}
+
+void SetState(FlowSim& sim,
+              size_t service,
+              size_t target,
+              config::TargetState state) {
+  sim.Change([&](config::Deployment& it) {
+    it.services[service].targets[target].state = state;
+  });
+}
+
+// Starts flows and lets all flows send for a while.
+void Traffic(FlowSim& sim, size_t starts, Duration span) {
+  const Duration step = std::chrono::milliseconds(100);
+  const auto steps = static_cast<size_t>(span / step);
+  for (size_t i = 0; i < steps; ++i) {
+    for (size_t n = starts * i / steps; n < starts * (i + 1) / steps; ++n) {
+      sim.StartFlow(static_cast<uint32_t>(sim.Random(2)));
+    }
+    // Each flow sends about once a second.
+    for (size_t f = sim.Random(10); f < sim.flows().size(); f += 10) {
+      sim.SendData(f);
+    }
+    sim.RunFor(step);
+  }
+}
+
+void ExpectClean(const FlowSim& sim) {
+  EXPECT_EQ(sim.violations().misrouted, 0U);
+  EXPECT_EQ(sim.violations().broken, 0U);
+  EXPECT_EQ(sim.violations().new_on_draining, 0U);
+}
+
+TEST(FlowRouterTest, FlowsStayThroughADrain) {
+  FlowSim sim(FlowSimOptions{}, Factory(Options()));
+  Traffic(sim, 500, std::chrono::seconds(5));
+  SetState(sim, 0, 3, config::TargetState::kDraining);
+  Traffic(sim, 500, std::chrono::seconds(30));
+  ExpectClean(sim);
+  EXPECT_LT(sim.dropped(), 5U);
+}
+
+TEST(FlowRouterTest, FlowsStayThroughAKillDuringADrain) {
+  FlowSim sim(FlowSimOptions{}, Factory(Options()));
+  Traffic(sim, 500, std::chrono::seconds(5));
+  SetState(sim, 0, 3, config::TargetState::kDraining);
+  Traffic(sim, 200, std::chrono::seconds(4));
+  sim.Kill(2);
+  Traffic(sim, 500, std::chrono::seconds(40));
+  ExpectClean(sim);
+}
+
+TEST(FlowRouterTest, FlowsStayThroughARollingRestart) {
+  FlowSim sim(FlowSimOptions{}, Factory(Options()));
+  Traffic(sim, 500, std::chrono::seconds(5));
+  for (size_t vm = 0; vm < sim.VmCount(); ++vm) {
+    sim.Leave(vm, std::chrono::seconds(3));
+    Traffic(sim, 50, std::chrono::seconds(6));
+    sim.Start(vm);
+    Traffic(sim, 50, std::chrono::seconds(4));
+  }
+  ExpectClean(sim);
+}
+
+}  // namespace
+}  // namespace marjoramhall::flow
