Add validation, changes, merging and address quarantine

Change: typed operations with a strict JSON form; ApplyChange makes the next revision and validates it; a plan marks each object it touches by fingerprint and merges only while these are unchanged; released addresses are checked against the revisions of known members. A service's flow address is quarantined too, and an address never moves within one change. An endpoint of a target or service cannot be changed, because established flows on it would break.

--- a/src/base/endpoint.h
+++ b/src/base/endpoint.h
@@ -16,6 +16,8 @@
 struct IpAddress {
   std::array<uint8_t, 16> bytes{};
 
+  // The check takes the 0 of the generated comparison for a null pointer.
+  // NOLINTNEXTLINE(modernize-use-nullptr)
   auto operator<=>(const IpAddress&) const = default;
 
   bool IsV4() const;
@@ -33,6 +35,7 @@
   IpAddress address;
   uint16_t port = 0;
 
+  // NOLINTNEXTLINE(modernize-use-nullptr)
   auto operator<=>(const Endpoint&) const = default;
 
   // "127.0.0.1:80" or "[::1]:80".
--- a/src/config/deployment_fields.cc
+++ b/src/config/deployment_fields.cc
@@ -108,34 +108,27 @@
   return json;
 }
 
-void ReadDomainFields(JsonObjectReader& reader, FailureDomain* out) {
-  reader.Read("name", &out->name);
+void ReadDomainSettings(JsonObjectReader& reader, FailureDomain* out) {
   reader.Read("region", &out->region);
 }
 
-void ReadTargetFields(JsonObjectReader& reader, Target* out) {
-  reader.Read("name", &out->name);
+void ReadTargetSettings(JsonObjectReader& reader, Target* out) {
   reader.Read("domain", &out->domain);
-  reader.Read("flow_endpoint", &out->flow_endpoint);
-  reader.Read("request_endpoint", &out->request_endpoint);
   reader.Read("slots", &out->slots);
   reader.Read("queue", &out->queue);
   reader.Read("connections", &out->connections);
   reader.Read("weight", &out->weight);
-  reader.ReadEnum("state", &out->state);
 }
 
-void ReadServiceFields(JsonObjectReader& reader, Service* out) {
-  reader.Read("name", &out->name);
-  reader.Read("flow_address", &out->flow_address);
-  reader.ReadEnum("flow_protocol", &out->flow_protocol);
+void ReadServiceSettings(JsonObjectReader& reader, Service* out) {
   reader.Read("host", &out->host);
   reader.ReadList("kinds", &out->kinds, ReadKind);
 }
 
 void ReadDomain(JsonObjectReader& reader, FailureDomain* out) {
   reader.Require("name");
-  ReadDomainFields(reader, out);
+  reader.Read("name", &out->name);
+  ReadDomainSettings(reader, out);
 }
 
 void ReadTarget(JsonObjectReader& reader, Target* out) {
@@ -144,7 +137,11 @@
     reader.Require(it);
   }
   reader.ReadId("id", &out->id);
-  ReadTargetFields(reader, out);
+  reader.Read("name", &out->name);
+  reader.Read("flow_endpoint", &out->flow_endpoint);
+  reader.Read("request_endpoint", &out->request_endpoint);
+  reader.ReadEnum("state", &out->state);
+  ReadTargetSettings(reader, out);
 }
 
 void ReadService(JsonObjectReader& reader, Service* out) {
@@ -152,7 +149,10 @@
     reader.Require(it);
   }
   reader.ReadId("id", &out->id);
-  ReadServiceFields(reader, out);
+  reader.Read("name", &out->name);
+  reader.Read("flow_address", &out->flow_address);
+  reader.ReadEnum("flow_protocol", &out->flow_protocol);
+  ReadServiceSettings(reader, out);
   reader.ReadList("targets", &out->targets, ReadTarget);
 }
 
--- a/src/config/deployment_fields.h
+++ b/src/config/deployment_fields.h
@@ -12,12 +12,12 @@
 Json TargetToJson(const Target& target);
 Json ServiceToJson(const Service& service);
 
-// Members that are absent keep the value that `out` has, so that the same code
-// reads a whole object and a change of some members.
-void ReadDomainFields(JsonObjectReader& reader, FailureDomain* out);
-void ReadTargetFields(JsonObjectReader& reader, Target* out);
-// Everything but the targets.
-void ReadServiceFields(JsonObjectReader& reader, Service* out);
+// The members that a change of an existing object may set; absent ones keep the
+// value that `out` has. Names and endpoints are not among them: a flow that is
+// established on an address must keep it.
+void ReadDomainSettings(JsonObjectReader& reader, FailureDomain* out);
+void ReadTargetSettings(JsonObjectReader& reader, Target* out);
+void ReadServiceSettings(JsonObjectReader& reader, Service* out);
 
 // Whole objects: names and addresses must be present.
 void ReadDomain(JsonObjectReader& reader, FailureDomain* out);
--- /dev/null
+++ b/src/config/merge.cc
@@ -0,0 +1,156 @@
+// Fingerprints of objects and conflict detection.
+#include "src/config/merge.h"
+
+#include <xxhash.h>
+
+#include <algorithm>
+#include <string_view>
+
+#include "src/config/deployment_fields.h"
+
+namespace marjoramhall::config {
+namespace {
+
+constexpr std::string_view kTarget = "target ";
+constexpr std::string_view kService = "service ";
+constexpr std::string_view kServiceTargets = "targets of service ";
+constexpr std::string_view kDomain = "failure domain ";
+
+uint64_t Fingerprint(const Json& json) {
+  const std::string text =
+      json.dump(-1, ' ', false, Json::error_handler_t::replace);
+  const uint64_t hash = XXH3_64bits(text.data(), text.size());
+  return hash == 0 ? 1 : hash;
+}
+
+const Service* FindService(const Deployment& deployment,
+                           std::string_view name) {
+  for (const Service& it : deployment.services) {
+    if (it.name == name) {
+      return &it;
+    }
+  }
+  return nullptr;
+}
+
+uint64_t ServiceFingerprint(const Deployment& deployment,
+                            std::string_view name,
+                            bool with_targets) {
+  const Service* found = FindService(deployment, name);
+  if (found == nullptr) {
+    return 0;
+  }
+  if (with_targets) {
+    return Fingerprint(ServiceToJson(*found));
+  }
+  Service service = *found;
+  service.targets.clear();
+  return Fingerprint(ServiceToJson(service));
+}
+
+uint64_t TargetFingerprint(const Deployment& deployment,
+                           std::string_view name) {
+  for (const Service& service : deployment.services) {
+    for (const Target& it : service.targets) {
+      if (it.name == name) {
+        return Fingerprint(TargetToJson(it));
+      }
+    }
+  }
+  return 0;
+}
+
+uint64_t DomainFingerprint(const Deployment& deployment,
+                           std::string_view name) {
+  for (const FailureDomain& it : deployment.domains) {
+    if (it.name == name) {
+      return Fingerprint(DomainToJson(it));
+    }
+  }
+  return 0;
+}
+
+uint64_t FingerprintOf(const Deployment& deployment, std::string_view object) {
+  if (object.starts_with(kTarget)) {
+    return TargetFingerprint(deployment, object.substr(kTarget.size()));
+  }
+  if (object.starts_with(kServiceTargets)) {
+    return ServiceFingerprint(deployment, object.substr(kServiceTargets.size()),
+                              true);
+  }
+  if (object.starts_with(kService)) {
+    return ServiceFingerprint(deployment, object.substr(kService.size()),
+                              false);
+  }
+  return DomainFingerprint(deployment, object.substr(kDomain.size()));
+}
+
+std::string Name(std::string_view type, const std::string& name) {
+  return std::string(type) + name;
+}
+
+std::vector<std::string> ObjectsOf(const Operation& it) {
+  switch (it.kind) {
+    case OperationKind::kAddService: {
+      std::vector<std::string> objects = {Name(kService, it.name)};
+      for (const Target& target : it.new_service.targets) {
+        objects.push_back(Name(kTarget, target.name));
+      }
+      return objects;
+    }
+    case OperationKind::kChangeService:
+      return {Name(kService, it.name)};
+    case OperationKind::kRemoveService:
+      return {Name(kServiceTargets, it.name)};
+    case OperationKind::kAddTarget:
+    case OperationKind::kChangeTarget:
+    case OperationKind::kRemoveTarget:
+    case OperationKind::kDrainTarget:
+    case OperationKind::kUndrainTarget:
+    case OperationKind::kSetWeight:
+      return {Name(kTarget, it.name)};
+    case OperationKind::kAddDomain:
+    case OperationKind::kChangeDomain:
+    case OperationKind::kRemoveDomain:
+      return {Name(kDomain, it.name)};
+  }
+  return {};
+}
+
+}  // namespace
+
+std::vector<ObjectMark> MarkObjects(const Deployment& base,
+                                    std::span<const Operation> operations) {
+  std::vector<std::string> objects;
+  for (const Operation& it : operations) {
+    for (std::string& object : ObjectsOf(it)) {
+      objects.push_back(std::move(object));
+    }
+  }
+  std::sort(objects.begin(), objects.end());
+  objects.erase(std::unique(objects.begin(), objects.end()), objects.end());
+  std::vector<ObjectMark> marks;
+  marks.reserve(objects.size());
+  for (const std::string& it : objects) {
+    marks.push_back({it, FingerprintOf(base, it)});
+  }
+  return marks;
+}
+
+std::vector<std::string> FindConflicts(const Deployment& current,
+                                       std::span<const ObjectMark> marks) {
+  std::vector<std::string> conflicts;
+  for (const ObjectMark& it : marks) {
+    if (FingerprintOf(current, it.object) != it.fingerprint) {
+      conflicts.push_back(it.object);
+    }
+  }
+  return conflicts;
+}
+
+bool HistoryCovers(const Deployment& current, Revision revision) {
+  return current.history.size() < kHistoryLimit ||
+         current.history.front().revision <= revision + 1;
+}
+
+}  // namespace marjoramhall::config
--- /dev/null
+++ b/src/config/quarantine.cc
@@ -0,0 +1,104 @@
+// Bookkeeping and checks of released addresses.
+#include "src/config/quarantine.h"
+
+#include <algorithm>
+#include <map>
+
+namespace marjoramhall::config {
+namespace {
+
+using Uses = std::map<Endpoint, ServiceId>;
+
+Uses UsesOf(const Deployment& deployment) {
+  Uses uses;
+  for (const Service& service : deployment.services) {
+    uses.insert({service.flow_address, service.id});
+    for (const Target& it : service.targets) {
+      uses.insert({it.flow_endpoint, service.id});
+      uses.insert({it.request_endpoint, service.id});
+    }
+  }
+  return uses;
+}
+
+std::string MissingMembers(std::span<const KnownMember> members,
+                           Revision revision) {
+  std::string names;
+  for (const KnownMember& it : members) {
+    if (it.revision < revision) {
+      names += (names.empty() ? "" : ", ") + it.name + " (holds " +
+               std::to_string(it.revision) + ")";
+    }
+  }
+  return names;
+}
+
+}  // namespace
+
+void UpdateReleased(const Deployment& base, Deployment* next) {
+  const Uses before = UsesOf(base);
+  const Uses after = UsesOf(*next);
+  std::erase_if(next->released, [&](const ReleasedAddress& it) {
+    return after.contains(it.endpoint);
+  });
+  for (const auto& [endpoint, service] : before) {
+    if (!after.contains(endpoint)) {
+      next->released.push_back({endpoint, service, next->revision});
+    }
+  }
+}
+
+std::vector<std::string> CheckQuarantine(const Deployment& base,
+                                         const Deployment& next,
+                                         std::span<const KnownMember> members) {
+  std::vector<std::string> reasons;
+  const Uses before = UsesOf(base);
+  std::map<Endpoint, const ReleasedAddress*> released;
+  for (const ReleasedAddress& it : base.released) {
+    released[it.endpoint] = &it;
+  }
+  for (const auto& [endpoint, service] : UsesOf(next)) {
+    const auto used = before.find(endpoint);
+    if (used != before.end()) {
+      if (used->second != service) {
+        reasons.push_back("address " + endpoint.ToString() +
+                          " belongs to another service; release it in a "
+                          "change of its own first");
+      }
+      continue;
+    }
+    const auto it = released.find(endpoint);
+    if (it == released.end() || it->second->service == service) {
+      continue;
+    }
+    const Revision needed = it->second->released_in;
+    const std::string missing = MissingMembers(members, needed);
+    if (!missing.empty()) {
+      reasons.push_back("address " + endpoint.ToString() +
+                        " was released by another service in revision " +
+                        std::to_string(needed) +
+                        ", which these VMs do not hold yet: " + missing);
+    }
+  }
+  return reasons;
+}
+
+void PruneReleased(std::span<const KnownMember> members,
+                   size_t limit,
+                   Deployment* next) {
+  Revision held = next->revision;
+  for (const KnownMember& it : members) {
+    held = std::min(held, it.revision);
+  }
+  size_t excess =
+      next->released.size() > limit ? next->released.size() - limit : 0;
+  std::erase_if(next->released, [&](const ReleasedAddress& it) {
+    if (excess == 0 || it.released_in > held) {
+      return false;
+    }
+    --excess;
+    return true;
+  });
+}
+
+}  // namespace marjoramhall::config
--- a/src/settings/schema.cc
+++ b/src/settings/schema.cc
@@ -253,14 +253,14 @@
 }  // namespace
 
 std::span<const SettingEntry> Schema() {
-  static const std::vector<SettingEntry> all = [] {
+  static const std::vector<SettingEntry> kAll = [] {
     std::vector<SettingEntry> entries = MakeTrafficEntries();
     for (SettingEntry& it : MakeOperatorEntries()) {
       entries.push_back(std::move(it));
     }
     return entries;
   }();
-  return all;
+  return kAll;
 }
 
 const SettingEntry* FindSetting(const std::string& section,
