--- a/src/base/endpoint.h
+++ b/src/base/endpoint.h
@@ -16,6 +16,8 @@
 struct IpAddress {
   std::array<uint8_t, 16> bytes{};
 
+  // The check takes the generated comparison with 0 for a null pointer.
+  // NOLINTNEXTLINE(modernize-use-nullptr)
   auto operator<=>(const IpAddress&) const = default;
 
   bool IsV4() const;
@@ -33,6 +35,8 @@
   IpAddress address;
   uint16_t port = 0;
 
+  // The check takes the generated comparison with 0 for a null pointer.
+  // NOLINTNEXTLINE(modernize-use-nullptr)
   auto operator<=>(const Endpoint&) const = default;
 
   // "127.0.0.1:80" or "[::1]:80".
--- a/src/control/gossip.h
+++ b/src/control/gossip.h
@@ -63,9 +63,9 @@
   size_t push_bytes = 4096;
   // Differences kept for peers that are behind.
   size_t kept_deltas = 32;
-  size_t kept_delta_bytes = 128 * 1024;
-  size_t chunk_bytes = 32 * 1024;
-  size_t max_text_bytes = 1024 * 1024;
+  size_t kept_delta_bytes = size_t{128} * 1024;
+  size_t chunk_bytes = size_t{32} * 1024;
+  size_t max_text_bytes = size_t{1024} * 1024;
   Duration pull_timeout = std::chrono::milliseconds(300);
 };
 
--- a/src/control/store_counter.cc
+++ b/src/control/store_counter.cc
@@ -7,12 +7,12 @@
 namespace {
 
 template <typename Done>
-Done CountResult(std::shared_ptr<StoreCallCounts> counts, Done done) {
-  return [counts = std::move(counts), done = std::move(done)](
-             StoreStatus status, auto answer) {
-    ++counts->results[static_cast<size_t>(status)];
-    done(status, std::move(answer));
-  };
+Done CountResult(const std::shared_ptr<StoreCallCounts>& counts, Done done) {
+  return
+      [counts, done = std::move(done)](StoreStatus status, const auto& answer) {
+        ++counts->results[static_cast<size_t>(status)];
+        done(status, answer);
+      };
 }
 
 }  // namespace
--- a/src/control/store_table.h
+++ b/src/control/store_table.h
@@ -16,7 +16,7 @@
 namespace marjoramhall::control {
 
 // Largest value that the store takes.
-inline constexpr size_t kMaxStoreValueBytes = 1024 * 1024;
+inline constexpr size_t kMaxStoreValueBytes = size_t{1024} * 1024;
 
 // Not thread-safe.
 class StoreTable {
--- a/src/protocol/envelope.h
+++ b/src/protocol/envelope.h
@@ -19,7 +19,7 @@
 
 // Largest envelope on the wire. Configuration goes in chunks of 32 KB; the
 // largest other message is a page of stored answers of 16 KB each.
-inline constexpr size_t kMaxEnvelopeBytes = 256 * 1024;
+inline constexpr size_t kMaxEnvelopeBytes = size_t{256} * 1024;
 
 enum class EnvelopeError {
   kNone,
