--- a/src/base/endpoint.h
+++ b/src/base/endpoint.h
@@ -16,7 +16,7 @@
 struct IpAddress {
   std::array<uint8_t, 16> bytes{};
 
-  // The check takes the 0 of the generated comparison for a null pointer.
+  // The check takes the generated comparison with 0 for a null pointer.
   // NOLINTNEXTLINE(modernize-use-nullptr)
   auto operator<=>(const IpAddress&) const = default;
 
@@ -35,6 +35,7 @@
   IpAddress address;
   uint16_t port = 0;
 
+  // The check takes the generated comparison with 0 for a null pointer.
   // NOLINTNEXTLINE(modernize-use-nullptr)
   auto operator<=>(const Endpoint&) const = default;
 
