Join the real request plane core to the request path

An attempt ended before its target stream closed, so the core's next attempt found the connection busy and opened another one: 60 requests over 3 slots used 5 connections. A cancelled attempt whose connection takes no more bytes ends at once, since the core answers the caller only after it.

--- a/src/net/http2_session.cc
+++ b/src/net/http2_session.cc
@@ -228,6 +228,11 @@
   return it == streams_.end() ? 0 : it->second.out.size() - it->second.out_pos;
 }
 
+bool Http2SessionImpl::IsFramed(int32_t id) const {
+  const auto it = streams_.find(id);
+  return it == streams_.end() || it->second.local_ended;
+}
+
 Http2SessionImpl::Stream* Http2SessionImpl::Find(int32_t id) {
   const auto it = streams_.find(id);
   return it == streams_.end() ? nullptr : &it->second;
--- a/src/net/http2_session.h
+++ b/src/net/http2_session.h
@@ -160,9 +160,14 @@
   // True when Open() would work now.
   virtual bool CanOpen() const = 0;
   virtual bool IsClosed() const = 0;
+  // True while the socket takes no more bytes; until then a Reset() is not on
+  // its way and its on_close has to wait.
+  virtual bool IsBlocked() const = 0;
   virtual size_t open_streams() const = 0;
   // Bytes given to Write() that have not been framed yet.
   virtual size_t PendingBytes(int32_t stream) const = 0;
+  // True when all of our message, its end included, has been framed.
+  virtual bool IsFramed(int32_t stream) const = 0;
   virtual const Endpoint& peer() const = 0;
 };
 
--- a/src/net/http2_session_impl.h
+++ b/src/net/http2_session_impl.h
@@ -52,8 +52,10 @@
   void Close() override;
   bool CanOpen() const override;
   bool IsClosed() const override { return closed_; }
+  bool IsBlocked() const override { return waiting_writable_; }
   size_t open_streams() const override { return streams_.size(); }
   size_t PendingBytes(int32_t stream) const override;
+  bool IsFramed(int32_t stream) const override;
   const Endpoint& peer() const override { return peer_; }
 
  private:
--- a/src/net/request_path.cc
+++ b/src/net/request_path.cc
@@ -22,7 +22,7 @@
  public:
   Impl(asio::io_context& io,
        RequestPathOptions options,
-       [[maybe_unused]] const SendToPeer& send,
+       SendToPeer send,
        DecisionHook decide)
       : io_(io),
         options_(std::move(options)),
@@ -33,6 +33,11 @@
               options_.connections_per_target,
               options_.connect_timeout,
               target_counters_) {
+    if (!options_.make_core) {
+      options_.make_core =
+          MakeRequestPlane(options_.core, options_.self, options_.incarnation,
+                           std::move(send), decide_, options_.seed);
+    }
     core_ = options_.make_core(CoreHooks());
     environment_->pool = &pool_;
     environment_->replay_bytes = options_.replay_bytes;
--- a/src/net/request_path_exchange.cc
+++ b/src/net/request_path_exchange.cc
@@ -236,10 +236,14 @@
     caller_->Finish(stream_, std::move(trailers));
     caller_done_ = true;
   }
-  if (!body_ended_) {
+  attempt->answered = true;
+  if (!attempt->session->IsFramed(attempt->stream)) {
+    // The target did not need the rest of the request.
     Abandon(attempt);
+    if (attempt->session->IsBlocked()) {
+      EndAttempt(attempt, AttemptOutcome::kAnswered);
+    }
   }
-  EndAttempt(attempt, AttemptOutcome::kAnswered);
 }
 
 void Exchange::OnTargetSent(const AttemptPtr& attempt, size_t bytes) {
@@ -258,6 +262,10 @@
   if (attempt->ended) {
     return;
   }
+  if (attempt->answered) {
+    EndAttempt(attempt, AttemptOutcome::kAnswered);
+    return;
+  }
   switch (end) {
     case StreamEnd::kNotSent:
     case StreamEnd::kRefused:
@@ -282,6 +290,11 @@
       EndAttempt(it, AttemptOutcome::kNotRun);
     } else {
       Abandon(it);
+      // The core waits for the end of the attempt before it answers the caller;
+      // a target that reads nothing must not hold that up.
+      if (it->session->IsBlocked()) {
+        EndAttempt(it, AttemptOutcome::kCancelled);
+      }
     }
   }
 }
--- a/src/net/request_path_exchange.h
+++ b/src/net/request_path_exchange.h
@@ -64,6 +64,9 @@
     // Request body bytes that left for the connection.
     uint64_t body_sent = 0;
     bool cancelled = false;
+    // The whole answer is here; the attempt ends when its stream closes, so
+    // that the core's next attempt finds the connection idle.
+    bool answered = false;
     bool ended = false;
     int status = 0;
     request::StoredAnswer answer;
