Add the flow load tool, loopback tests and benchmarks

Cause: the flow plane has to be seen over real sockets, with callers that spray packets and targets that notice foreign ones. Change: flow-load (callers, fabric and packet targets in one process), FlowSite (flow planes in one process) for benchmarks, tests of FlowPath with three VMs over loopback, benchmarks of the table, the router's hit path and the UDP path against a bare relay. FlowStats has established flows per target. Faults found and fixed, each with a test: a VM that woke from a pause took its peers for dead and decided flows that the owner had decided otherwise; the first oversized packet was not answered, since the fabric's address was noted after the batch.

--- /dev/null
+++ b/bench/flow_path_bench.cc
@@ -0,0 +1,137 @@
+// Packets per second of the whole UDP path against a bare UDP relay with the
+// same batching, alternating between the two so that both see the same machine
+// load. Prints the ratio; the target is 0.8.
+#include <benchmark/benchmark.h>
+#include <poll.h>
+
+#include <algorithm>
+#include <atomic>
+#include <chrono>
+#include <thread>
+#include <vector>
+
+#include "lab/flow_packets.h"
+#include "lab/flow_site.h"
+#include "src/net/flow_path_socket.h"
+
+namespace marjoramhall::lab {
+namespace {
+
+constexpr size_t kFlows = 4096;
+// Datagrams in flight; below the socket buffers, so that nothing is lost.
+constexpr size_t kWindow = 1024;
+constexpr auto kRound = std::chrono::milliseconds(400);
+
+// Receives on one socket and sends on to the target: the least that a user
+// space forwarder can do.
+class Relay {
+ public:
+  explicit Relay(const Endpoint& target) {
+    in_.Open(*Endpoint::Parse("127.0.0.1:0"));
+    thread_ = std::thread([this, target] {
+      net::ReceiveBatch input;
+      net::SendBatch output;
+      while (!stop_) {
+        pollfd wait{in_.fd(), POLLIN, 0};
+        poll(&wait, 1, 10);
+        for (size_t n = net::kUdpBatch; n == net::kUdpBatch;) {
+          n = in_.Receive(input);
+          for (size_t i = 0; i < n; ++i) {
+            output.Add(target, {}, input.Datagram(i));
+          }
+          in_.Send(output);
+        }
+      }
+    });
+  }
+  ~Relay() {
+    stop_ = true;
+    thread_.join();
+  }
+  Endpoint Address() const { return in_.LocalEndpoint(); }
+
+ private:
+  net::UdpSocket in_;
+  std::atomic<bool> stop_ = false;
+  std::thread thread_;
+};
+
+class Driver {
+ public:
+  Driver() {
+    sink_.Open(*Endpoint::Parse("127.0.0.1:0"));
+    out_.Open(*Endpoint::Parse("127.0.0.1:0"));
+    for (size_t i = 0; i < kFlows; ++i) {
+      const flow::FlowKey key = {
+          IpAddress::FromV4(0x0a000001), IpAddress::FromV4(0xc0000201),
+          static_cast<uint16_t>(1024 + i), 443, config::FlowProtocol::kTcp};
+      packets_.push_back(MakePacket(key, kTcpAck, 64));
+    }
+  }
+
+  Endpoint Sink() const { return sink_.LocalEndpoint(); }
+
+  // Sends and receives with a fixed window; returns packets per second.
+  double Measure(const Endpoint& to) {
+    const auto start = std::chrono::steady_clock::now();
+    size_t sent = 0;
+    size_t received = 0;
+    size_t idle = 0;
+    auto now = start;
+    for (; now - start < kRound; now = std::chrono::steady_clock::now()) {
+      while (sent - received + net::kUdpBatch <= kWindow) {
+        for (size_t i = 0; i < net::kUdpBatch; ++i) {
+          output_.Add(to, {}, packets_[(sent + i) % kFlows]);
+        }
+        out_.Send(output_);
+        sent += net::kUdpBatch;
+      }
+      const size_t n = sink_.Receive(input_);
+      received += n;
+      idle = n == 0 ? idle + 1 : 0;
+      // A lost datagram must not keep the window closed for ever.
+      if (idle > 200000) {
+        received = sent;
+        idle = 0;
+      }
+    }
+    return static_cast<double>(received) /
+           std::chrono::duration<double>(now - start).count();
+  }
+
+ private:
+  net::UdpSocket sink_;
+  net::UdpSocket out_;
+  net::ReceiveBatch input_;
+  net::SendBatch output_;
+  std::vector<std::vector<uint8_t>> packets_;
+};
+
+double Median(std::vector<double> values) {
+  std::sort(values.begin(), values.end());
+  return values[values.size() / 2];
+}
+
+void PathAgainstRelay(benchmark::State& state) {
+  Driver driver;
+  Relay relay(driver.Sink());
+  FlowSite site(1);
+  site.Publish(
+      MakeDeployment({{*Endpoint::Parse("192.0.2.1:443"), {driver.Sink()}}}));
+  const Endpoint path = site.FabricEndpoints()[0];
+  driver.Measure(path);
+  driver.Measure(relay.Address());
+  std::vector<double> with_path;
+  std::vector<double> with_relay;
+  for (auto _ : state) {
+    with_path.push_back(driver.Measure(path));
+    with_relay.push_back(driver.Measure(relay.Address()));
+  }
+  state.counters["path_packets_per_s"] = Median(with_path);
+  state.counters["relay_packets_per_s"] = Median(with_relay);
+  state.counters["ratio"] = Median(with_path) / Median(with_relay);
+}
+BENCHMARK(PathAgainstRelay)->Iterations(5)->Unit(benchmark::kMillisecond);
+
+}  // namespace
+}  // namespace marjoramhall::lab
--- a/lab/flow_sim_model.h
+++ b/lab/flow_sim_model.h
@@ -2,7 +2,10 @@
 #ifndef MARJORAMHALL_LAB_FLOW_SIM_MODEL_H_
 #define MARJORAMHALL_LAB_FLOW_SIM_MODEL_H_
 
+#include <functional>
+#include <queue>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "src/base/time.h"
@@ -41,6 +44,59 @@
   TimePoint last_syn;
 };
 
+// The n-th flow of the callers.
+inline SimFlow MakeSimFlow(uint32_t n,
+                           uint32_t service,
+                           const config::Service& to,
+                           TimePoint now) {
+  constexpr uint32_t kPortsPerAddress = 50000;
+  SimFlow flow;
+  flow.service = service;
+  flow.key = {IpAddress::FromV4(0x0a000000 + n / kPortsPerAddress),
+              to.flow_address.address,
+              static_cast<uint16_t>(1024 + n % kPortsPerAddress),
+              to.flow_address.port, to.flow_protocol};
+  flow.started = now;
+  return flow;
+}
+
+// What the targets and callers noticed.
+struct SimViolations {
+  uint64_t misrouted = 0;        // packet at a target of another service
+  uint64_t broken = 0;           // established flow, packet elsewhere
+  uint64_t new_on_draining = 0;  // more than 3 s after the drain
+};
+
+// Actions in order of time, and of insertion at the same time.
+class SimEvents {
+ public:
+  struct Event {
+    TimePoint at;
+    uint64_t order = 0;
+    std::function<void()> action;
+    bool operator<(const Event& other) const {
+      return at != other.at ? at > other.at : order > other.order;
+    }
+  };
+
+  void Add(TimePoint at, std::function<void()> action) {
+    queue_.push({at, ++order_, std::move(action)});
+  }
+  bool HasDue(TimePoint end) const {
+    return !queue_.empty() && queue_.top().at <= end;
+  }
+  Event Take() {
+    // The queue gives const access only; the action is moved out before pop.
+    Event event = std::move(const_cast<Event&>(queue_.top()));
+    queue_.pop();
+    return event;
+  }
+
+ private:
+  std::priority_queue<Event> queue_;
+  uint64_t order_ = 0;
+};
+
 // One service per element with that many targets of equal weight.
 inline config::Deployment MakeSimDeployment(
     uint64_t seed,
--- a/lab/main.cc
+++ b/lab/main.cc
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "lab/flow_baselines.h"
+#include "lab/flow_commands.h"
 #include "lab/ports.h"
 
 namespace {
@@ -22,6 +23,8 @@
   static const std::vector<Command> kCommands = {
       {"flow-experiment", "compare flow routing designs in virtual time",
        marjoramhall::lab::RunFlowExperiment},
+      {"flow-load", "open flows through VMs and check where they arrive",
+       marjoramhall::lab::RunFlowLoad},
       {"ports", "print N free loopback ports", marjoramhall::lab::RunPorts},
   };
   return kCommands;
--- a/src/flow/flow_peers.cc
+++ b/src/flow/flow_peers.cc
@@ -221,6 +221,12 @@
   return true;
 }
 
+void FlowPeers::OnResume() {
+  for (auto& [id, peer] : peers_) {
+    peer.unanswered_since = TimePoint{};
+  }
+}
+
 void FlowPeers::AnswerLease(VmId to,
                             const protocol::FlowControl& message,
                             const ManagedSet& managed,
--- a/src/flow/flow_peers.h
+++ b/src/flow/flow_peers.h
@@ -68,6 +68,9 @@
   // incarnation than the newest one seen.
   bool OnHopPacket(VmId from, Incarnation incarnation, TimePoint now);
 
+  // This VM was paused: forgets since when answers are missing.
+  void OnResume();
+
   // Whether `bucket` of `service` may be treated as settled under a lease from
   // `owner`.
   bool IsSettled(VmId owner,
--- a/src/flow/flow_router.cc
+++ b/src/flow/flow_router.cc
@@ -11,6 +11,8 @@
 
 // The half-open section is this part of the established one.
 constexpr size_t kHalfOpenShare = 8;
+// Ticks come every 10 ms; a gap of this length is a pause.
+constexpr Duration kPauseThreshold = std::chrono::milliseconds(300);
 constexpr Duration kControlInterval = std::chrono::milliseconds(50);
 constexpr Duration kManagedInterval = std::chrono::milliseconds(500);
 // An entry that was put to the owner and got no answer is put again after 1 s.
@@ -90,8 +92,18 @@
   return true;
 }
 
+// A VM that did not run for a while has missed answers of its peers; that does
+// not mean that they are out of reach, and it must not take over from them.
+void FlowRouter::NoticePause(TimePoint now) {
+  if (now - last_tick_ > kPauseThreshold) {
+    peers_.OnResume();
+    last_tick_ = now;
+  }
+}
+
 bool FlowRouter::Prepare(Packet& packet, Route& dropped) {
   ++counters_[FlowCounter::kPackets];
+  NoticePause(packet.now);
   packet.tick = ToTick(packet.now);
   if (!view_) {
     dropped = Drop(FlowCounter::kDropNoConfiguration);
@@ -180,21 +192,18 @@
       (entry->flags & kEntryClosing) == 0) {
     return RouteClose(packet, *entry);
   }
-  bool half_open = false;
-  Find(packet.hash, half_open);
   // The packet that completes the handshake: owner and backup both have to
   // learn it, or the entry of the other one ends with the half-open timeout.
-  const bool completes = half_open && (entry->flags & kEntryHolder) != 0;
+  const bool completes = packet.half_open && (entry->flags & kEntryHolder) != 0;
   if (completes || NeedsConfirmation(packet, *entry)) {
     return Confirm(packet, *entry);
   }
   entry->seen = packet.tick;
-  const TargetId target = entry->target;
-  if (half_open) {
+  if (packet.half_open) {
     Promote(entry);
   }
   ++counters_[FlowCounter::kHits];
-  return ToTarget(packet, target);
+  return ToTarget(*packet.target);
 }
 
 // The owner decides about first packets even when this VM has an entry: the
@@ -352,6 +361,9 @@
     return;
   }
   const Tick tick = ToTick(now);
+  if (now - last_tick_ > kPauseThreshold) {
+    peers_.OnResume();
+  }
   // One pass over each table per second.
   const auto share = [&](const FlowTable& table) {
     const double elapsed =
@@ -387,10 +399,14 @@
   if (it->service != packet.service) {
     return Drop(FlowCounter::kDropOtherService);
   }
+  return ToTarget(*it);
+}
+
+Route FlowRouter::ToTarget(const TargetView& target) {
   Route route;
   route.kind = RouteKind::kTarget;
-  route.target = target;
-  route.endpoint = it->endpoint;
+  route.target = target.id;
+  route.endpoint = target.endpoint;
   return route;
 }
 
--- a/src/flow/flow_router.h
+++ b/src/flow/flow_router.h
@@ -106,10 +106,14 @@
     uint32_t service = 0;  // index in the view
     TimePoint now;
     Tick tick = 0;
+    // Set by FindValid: the target of the entry and where the entry is.
+    const TargetView* target = nullptr;
+    bool half_open = false;
     protocol::HopHeader hop;  // as received; origin fields set for own packets
   };
 
   // Entry of packets (flow_router.cc).
+  void NoticePause(TimePoint now);
   bool Prepare(Packet& packet, Route& dropped);
   bool Identify(Packet& packet);
   Route RouteEntry(Packet& packet);
@@ -125,6 +129,7 @@
   Route OnFirst(Packet& packet);
   Route OnAsk(Packet& packet);
   Route OnRecord(Packet& packet);
+  TargetId CorrectedTarget(const Packet& packet, const FlowEntry* entry);
   Route OnCorrect(Packet& packet);
   Route OnDeliver(Packet& packet);
   Route OnWalk(Packet& packet);
@@ -138,6 +143,7 @@
   Route Answer(Packet& packet, TargetId target, uint8_t flags);
 
   Route ToTarget(const Packet& packet, TargetId target);
+  Route ToTarget(const TargetView& target);
   Route ToPeer(Packet& packet,
                MemberIndex peer,
                protocol::HopKind kind,
@@ -148,7 +154,7 @@
   // Entries (flow_router_entries.cc).
   FlowEntry* Find(const FlowHash& hash, bool& half_open);
   // An entry whose target belongs to the packet's service, or null.
-  FlowEntry* FindValid(const Packet& packet);
+  FlowEntry* FindValid(Packet& packet);
   FlowEntry* Promote(FlowEntry* entry);
   FlowEntry* Keep(const Packet& packet,
                   TargetId target,
--- a/src/flow/flow_router_entries.cc
+++ b/src/flow/flow_router_entries.cc
@@ -14,14 +14,14 @@
   return half_open_.Find(hash);
 }
 
-FlowEntry* FlowRouter::FindValid(const Packet& packet) {
-  bool half_open = false;
-  FlowEntry* entry = Find(packet.hash, half_open);
+FlowEntry* FlowRouter::FindValid(Packet& packet) {
+  FlowEntry* entry = Find(packet.hash, packet.half_open);
   if (!entry) {
     return nullptr;
   }
-  const TargetView* target = view_->FindTarget(entry->target);
-  return target && target->service == packet.service ? entry : nullptr;
+  packet.target = view_->FindTarget(entry->target);
+  return packet.target && packet.target->service == packet.service ? entry
+                                                                   : nullptr;
 }
 
 // Moves a half-open entry to the established section. When that is full, the
--- a/src/flow/flow_router_hops.cc
+++ b/src/flow/flow_router_hops.cc
@@ -84,10 +84,8 @@
     if (packet.info.icmp_error) {
       return ToTarget(packet, entry->target);
     }
-    bool half_open = false;
-    Find(packet.hash, half_open);
     entry->seen = packet.tick;
-    if (claim || half_open || close != 0) {
+    if (claim || packet.half_open || close != 0) {
       return RecordAndPass(packet, entry->target, flags);
     }
     return Answer(packet, entry->target, flags);
@@ -169,6 +167,34 @@
   return ToTarget(packet, target);
 }
 
+// What the backup makes of the owner's decision about a first packet. `entry`
+// is the backup's own entry of the flow or null.
+TargetId FlowRouter::CorrectedTarget(const Packet& packet,
+                                     const FlowEntry* entry) {
+  const HopHeader& hop = packet.hop;
+  const bool fresh = (hop.flags & protocol::kHopFresh) != 0;
+  const TargetView* decided = view_->FindTarget(hop.target);
+  const TargetView* own = entry && (entry->flags & kEntryClosing) == 0
+                              ? view_->FindTarget(entry->target)
+                              : nullptr;
+  const bool own_accepts = own && own->active;
+  // The owner decided under an old configuration.
+  const bool outdated =
+      view_->revision() > hop.revision && !(decided && decided->active);
+  if (!packet.info.tcp_syn || (!outdated && !(fresh && own_accepts))) {
+    return hop.target;
+  }
+  // A first packet reaches a target only through the backup, so an entry of the
+  // backup means that its target knows the flow already.
+  if (own_accepts) {
+    return own->id;
+  }
+  std::string_view reason;
+  const TargetId target =
+      fresh ? ChooseTarget(packet, reason) : TargetId::kNone;
+  return target == TargetId::kNone ? hop.target : target;
+}
+
 Route FlowRouter::OnRecord(Packet& packet) {
   HopHeader& hop = packet.hop;
   ++counters_[FlowCounter::kRecorded];
@@ -177,25 +203,13 @@
     // What the owner has recorded already stands.
     return RecordAndPass(packet, entry ? entry->target : hop.target, hop.flags);
   }
-  const TargetView* decided = view_->FindTarget(hop.target);
-  const bool accepts = decided && decided->active;
-  if (packet.info.tcp_syn && view_->revision() > hop.revision && !accepts) {
-    // The owner decided under an old configuration.
-    const TargetView* own = entry ? view_->FindTarget(entry->target) : nullptr;
-    TargetId target = TargetId::kNone;
-    if (own && own->active) {
-      target = own->id;
-    } else if ((hop.flags & protocol::kHopFresh) != 0) {
-      std::string_view reason;
-      target = ChooseTarget(packet, reason);
-    }
-    if (target != TargetId::kNone && target != hop.target) {
-      ++counters_[FlowCounter::kCorrected];
-      Keep(packet, target, true, kEntryHolder);
-      hop.revision = view_->revision();
-      if (const auto sender = view_->FindMember(hop.sender)) {
-        return ToPeer(packet, *sender, HopKind::kCorrect, hop.flags, target);
-      }
+  const TargetId target = CorrectedTarget(packet, entry);
+  if (target != hop.target) {
+    ++counters_[FlowCounter::kCorrected];
+    Keep(packet, target, true, kEntryHolder);
+    hop.revision = view_->revision();
+    if (const auto sender = view_->FindMember(hop.sender)) {
+      return ToPeer(packet, *sender, HopKind::kCorrect, hop.flags, target);
     }
   }
   Keep(packet, hop.target, packet.info.tcp_syn,
@@ -221,7 +235,8 @@
 }
 
 Route FlowRouter::StartWalk(Packet& packet) {
-  if (!walk_budget_.TryTake(1, packet.now)) {
+  const bool alone = view_->members().size() == 1;
+  if (!alone && !walk_budget_.TryTake(1, packet.now)) {
     return Drop(FlowCounter::kDropWalkBudget);
   }
   ++counters_[FlowCounter::kWalks];
--- a/src/net/flow_path.cc
+++ b/src/net/flow_path.cc
@@ -119,6 +119,9 @@
   void ReceiveFabric() {
     for (int turn = 0; turn < kBatchesPerTurn; ++turn) {
       const size_t n = fabric_.Receive(input_);
+      if (n > 0) {
+        fabric_source_ = input_.Source(n - 1);
+      }
       const TimePoint now = SteadyNow();
       for (size_t i = 0; i < n; ++i) {
         if (input_.IsTruncated(i)) {
@@ -129,9 +132,6 @@
         const auto packet = input_.Datagram(i);
         Send(router_.OnFabricPacket(packet, now), packet);
       }
-      if (n > 0) {
-        fabric_source_ = input_.Source(n - 1);
-      }
       Flush();
       SendReleased();
       if (n < kUdpBatch) {
@@ -231,6 +231,7 @@
       // Walks over all buckets; twice a second is enough.
       stats_.exceptions = router_.ExceptionCount();
       stats_.managed_buckets = router_.ManagedCount();
+      stats_.target_flows = router_.OwnLoad();
     }
     const std::lock_guard lock(snapshot_mutex_);
     snapshot_ = stats_;
--- a/src/net/flow_path.h
+++ b/src/net/flow_path.h
@@ -7,6 +7,8 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <utility>
+#include <vector>
 
 #include "src/base/decision.h"
 #include "src/base/endpoint.h"
@@ -49,6 +51,9 @@
   size_t exceptions = 0;
   size_t managed_buckets = 0;
   Revision revision = 0;
+  // Established flows per target in the buckets that this VM owns, about once a
+  // second; the sum over all VMs counts each flow once.
+  std::vector<std::pair<TargetId, uint32_t>> target_flows;
 };
 
 // Members are called on the thread of the io_context, except where stated.
--- a/src/net/flow_path_socket.cc
+++ b/src/net/flow_path_socket.cc
@@ -121,8 +121,10 @@
   return "UDP socket " + local.ToString() + ": " + error;
 }
 
-int UdpSocket::Release() {
-  return std::exchange(fd_, -1);
+bool UdpSocket::Connect(const Endpoint& peer) {
+  sockaddr_in6 address{};
+  const socklen_t length = ToSockaddr(peer, address);
+  return connect(fd_, reinterpret_cast<sockaddr*>(&address), length) == 0;
 }
 
 void UdpSocket::Close() {
--- a/src/net/flow_path_socket.h
+++ b/src/net/flow_path_socket.h
@@ -82,8 +82,9 @@
   // Binds a non-blocking socket. Returns an error that names the address, or an
   // empty string.
   std::string Open(const Endpoint& local);
-  // Gives up the descriptor without closing it.
-  int Release();
+  // Fixes the peer, so that a send reports when nothing listens there. False
+  // when the system refuses the address.
+  bool Connect(const Endpoint& peer);
   void Close();
 
   int fd() const { return fd_; }
--- a/tests/flow/router_test.cc
+++ b/tests/flow/router_test.cc
@@ -79,6 +79,20 @@
   ExpectClean(sim);
 }
 
+// A VM that woke up took its silent peers for dead and decided flows that the
+// owner had decided otherwise.
+TEST(FlowRouterTest, PausedVmDoesNotTakeOverWhenItWakes) {
+  FlowSimOptions options;
+  options.vms = 4;
+  options.fabric_repeat = 0.1;
+  FlowSim sim(options, Factory(Options()));
+  for (size_t i = 0; i < 8; ++i) {
+    sim.Pause(i % 4, std::chrono::milliseconds(1900));
+    Traffic(sim, 400, std::chrono::seconds(4));
+  }
+  ExpectClean(sim);
+}
+
 TEST(FlowRouterTest, FlowsStayThroughARollingRestart) {
   FlowSim sim(FlowSimOptions{}, Factory(Options()));
   Traffic(sim, 500, std::chrono::seconds(5));
