Test the request plane core under faults; fix what that found

Cause: the at-most-once ledger is only worth what survives loss, pauses, partitions and restarts. Change: a virtual-time fleet of cores with a faulty network, store and targets, and properties on executions, verdicts, ends and slots. It found and this fixes: a first attempt that ran in a history gap after its second attempt had run at the old owner (the gap now opens only when the old owner certainly grants nothing, and only for requests that arrived after that); an owner that kept granting although it had missed a VM since the store last confirmed it; a backup that never joined an owner that took over without the store; an allocator that restarted in the epoch of its earlier process and whose grants were ignored.

--- a/src/request/key_claims.cc
+++ b/src/request/key_claims.cc
@@ -61,6 +61,7 @@
           out->mutable_claim());
   out->set_fingerprint(claim.fingerprint);
   out->set_first_attempt(claim.first_attempt);
+  out->set_open_gap(claim.open_gap);
   context_.send(owner, message);
 }
 
@@ -74,6 +75,7 @@
   claim.name = std::move(name);
   claim.fingerprint = fingerprint;
   claim.first_attempt = first_attempt;
+  claim.open_gap = context_.ranges[RangeOf(claim.name)].known_open_gap;
   claim.started_at = now;
   claim.expires_at = now + ttl;
   SendClaim(id, claim, now);
@@ -116,6 +118,10 @@
     return;
   }
   const RequestId id = claim_id.request;
+  if (reply.open_gap() != 0) {
+    context_.ranges[RangeOf(FromProto(reply.name()))].known_open_gap =
+        reply.open_gap();
+  }
   if (reply.has_record()) {
     hooks_.learn(reply, now);
   }
--- a/src/request/key_claims.h
+++ b/src/request/key_claims.h
@@ -63,6 +63,7 @@
     KeyName name;
     uint64_t fingerprint = 0;
     bool first_attempt = false;
+    uint64_t open_gap = 0;  // known when the request arrived
     TimePoint started_at{};
     TimePoint expires_at{};
     TimePoint resend_at{};
--- a/src/request/key_owner.cc
+++ b/src/request/key_owner.cc
@@ -66,19 +66,51 @@
 }
 
 KeyOwner::KeyOwner(const RequestPlaneOptions& options, KeyContext& context)
-    : options_(options), context_(context), table_(options) {}
+    : context_(context), table_(options) {}
 
 bool KeyOwner::NeedsAck(const RangeState& range) const {
   return range.sync == BackupSync::kMarked || range.sync == BackupSync::kSynced;
 }
 
-void KeyOwner::Announce(VmId to, uint32_t range) {
+void KeyOwner::AddTo(protocol::RangesAnnounce& announce,
+                     uint32_t index,
+                     TimePoint now) const {
+  const RangeState& range = context_.ranges[index];
+  ToProto(range.record, announce.add_records());
+  announce.add_no_role(range.role == RangeRole::kNone);
+  const bool open = range.role == RangeRole::kOwner &&
+                    now >= range.gap_opens_at && now < range.gap_until;
+  announce.add_open_gaps(open ? range.gap_epoch : 0);
+}
+
+void KeyOwner::Announce(VmId to, uint32_t range, TimePoint now) {
   protocol::RequestMessage message;
-  ToProto(context_.ranges[range].record,
-          message.mutable_ranges_announce()->add_records());
+  AddTo(*message.mutable_ranges_announce(), range, now);
   context_.send(to, message);
 }
 
+bool KeyOwner::PassesGap(const KeyName& name,
+                         const ClaimId& claim,
+                         const protocol::KeyClaim& message,
+                         TimePoint now) {
+  const RangeState& range = context_.ranges[RangeOf(name)];
+  if (now >= range.gap_until) {
+    return true;
+  }
+  const bool open = now >= range.gap_opens_at;
+  if (open && message.first_attempt() &&
+      message.open_gap() == range.gap_epoch) {
+    return true;
+  }
+  protocol::RequestMessage reply;
+  ToProto(name, reply.mutable_key_reply()->mutable_name());
+  ToProto(claim, reply.mutable_key_reply()->mutable_claim());
+  reply.mutable_key_reply()->set_result(KeyReply::HISTORY_LOST);
+  reply.mutable_key_reply()->set_open_gap(open ? range.gap_epoch : 0);
+  context_.send(claim.vm, reply);
+  return false;
+}
+
 void KeyOwner::Reply(const KeyName& name,
                      const ClaimId& claim,
                      int result,
@@ -149,8 +181,7 @@
     ReplyExisting(name, claim, message.fingerprint(), *entry);
     return;
   }
-  if (now < range.gap_until && !message.first_attempt()) {
-    Reply(name, claim, KeyReply::HISTORY_LOST, nullptr);
+  if (!PassesGap(name, claim, message, now)) {
     return;
   }
   if (entry == nullptr && table_.Full()) {
@@ -175,7 +206,7 @@
   const RangeState& range = context_.ranges[RangeOf(name)];
   if (range.role != RangeRole::kOwner || range.stopped) {
     if (range.record.epoch > 0) {
-      Announce(from, RangeOf(name));
+      Announce(from, RangeOf(name), now);
     }
     return;
   }
@@ -276,11 +307,14 @@
 }
 
 void KeyOwner::JoinAsBackup(RangeState& range, VmId from, Incarnation process) {
-  // The record came from the store before the owner's first message. A
-  // restarted backup joins in the same way: it stays incomplete until the owner
-  // has copied every key to this process.
+  // The record came from the store before the owner's first message, or an
+  // owner that took over without the store has got its backup now. A restarted
+  // backup joins in the same way: it stays incomplete until the owner has
+  // copied every key to this process.
   if (range.role == RangeRole::kNone && range.record.owner == from &&
-      range.record.backup == context_.self) {
+      (range.record.backup == context_.self ||
+       range.record.backup == VmId::kNone)) {
+    range.record.backup = context_.self;
     range.role = RangeRole::kBackup;
     range.complete = false;
     range.owner_incarnation = process;
@@ -305,7 +339,7 @@
   if (range.role != RangeRole::kBackup ||
       replica.epoch() != range.record.epoch || from != range.record.owner ||
       process != range.owner_incarnation) {
-    Announce(from, index);
+    Announce(from, index, now);
     return;
   }
   KeyEntry& entry = table_.Insert(name);
@@ -366,6 +400,9 @@
   ToProto(range.record, synced->add_records());
   synced->add_gap_ms(static_cast<uint32_t>(
       std::max<int64_t>(0, (range.gap_until - now).count() / 1000)));
+  synced->set_gap_epoch(range.gap_epoch);
+  synced->set_gap_opens_ms(static_cast<uint32_t>(
+      std::max<int64_t>(0, (range.gap_opens_at - now).count() / 1000)));
   synced->set_backup_incarnation(range.backup_incarnation);
   context_.send(range.record.backup, message);
 }
@@ -397,11 +434,13 @@
   if (record != range.record || from != record.owner ||
       range.role != RangeRole::kBackup || process != range.owner_incarnation ||
       synced.backup_incarnation() != context_.incarnation) {
-    Announce(from, record.range);
+    Announce(from, record.range, now);
     return;
   }
   if (!range.complete) {
     range.complete = true;
+    range.gap_epoch = synced.gap_epoch();
+    range.gap_opens_at = now + std::chrono::milliseconds(synced.gap_opens_ms());
     range.gap_until = now + std::chrono::milliseconds(synced.gap_ms_size() > 0
                                                           ? synced.gap_ms(0)
                                                           : 0);
@@ -495,8 +534,10 @@
     }
   }
   for (uint32_t i = 0; i < kKeyRanges; ++i) {
-    if (context_.ranges[i].sync == BackupSync::kMarked &&
-        now - context_.ranges[i].marked_at >= kResend * 4) {
+    const RangeState& range = context_.ranges[i];
+    if (range.sync == BackupSync::kCopying ||
+        (range.sync == BackupSync::kMarked &&
+         now - range.marked_at >= kResend * 4)) {
       MarkIfCopied(i, now);
     }
   }
--- a/src/request/key_owner.h
+++ b/src/request/key_owner.h
@@ -18,6 +18,7 @@
 class KeyOutcome;
 class KeyReplica;
 class KeyReplicaAck;
+class RangesAnnounce;
 class RangesSynced;
 }  // namespace marjoramhall::protocol
 
@@ -48,7 +49,11 @@
   // A new process of a peer has been seen.
   void OnPeerRestart(VmId peer, TimePoint now);
   void EraseRange(uint32_t range);
-  void Announce(VmId to, uint32_t range);
+  // Adds what this VM knows of the range to an announcement.
+  void AddTo(protocol::RangesAnnounce& announce,
+             uint32_t range,
+             TimePoint now) const;
+  void Announce(VmId to, uint32_t range, TimePoint now);
 
   // Resends what is not acknowledged; expires keys.
   void Tick(TimePoint now);
@@ -66,6 +71,11 @@
              const ClaimId& claim,
              int result,
              const KeyEntry* entry);
+  // Whether an unknown key may be claimed; replies when not.
+  bool PassesGap(const KeyName& name,
+                 const ClaimId& claim,
+                 const protocol::KeyClaim& message,
+                 TimePoint now);
   // Answers a claim on a key that exists.
   void ReplyExisting(const KeyName& name,
                      const ClaimId& claim,
@@ -82,7 +92,6 @@
   void RecountUnacked();
   void MarkIfCopied(uint32_t range, TimePoint now);
 
-  const RequestPlaneOptions& options_;
   KeyContext& context_;
   KeyTable table_;
   std::deque<Unacked> unacked_;  // by due time
--- a/src/request/key_range_state.h
+++ b/src/request/key_range_state.h
@@ -40,13 +40,28 @@
   bool backup_lost = false;  // the backup's process is gone
   bool copy_started = false;
   TimePoint marked_at{};
-  // Until then only requests that declare their first attempt are run.
+  // A history gap, named by the epoch at which it began. Before it opens, the
+  // old owner may still be granting claims, so no unknown key is run. While it
+  // is open, a declared first attempt is run when it reached its entry VM after
+  // that VM had learnt of the open gap: an earlier one may have been overtaken
+  // by a second attempt that the old owner granted.
+  uint64_t gap_epoch = 0;
+  TimePoint gap_opens_at{};
   TimePoint gap_until{};
+  bool gap_announced = true;
 
   // Backup.
   bool complete = false;  // holds every key of the owner
   Incarnation owner_incarnation = 0;
 
+  // The current processes of the record's owner and backup have said that they
+  // hold no role, so no process does.
+  bool owner_denies = false;
+  bool backup_denies = false;
+
+  // Entry VM: the history gap that the owner has said to be open.
+  uint64_t known_open_gap = 0;
+
   // No role, although the record names this VM: since when.
   TimePoint orphaned_at{};
 };
--- a/src/request/range_keeper.cc
+++ b/src/request/range_keeper.cc
@@ -2,7 +2,6 @@
 #include "src/request/range_keeper.h"
 
 #include <algorithm>
-#include <map>
 #include <utility>
 
 #include "src/config/rendezvous.h"
@@ -22,6 +21,7 @@
 constexpr Duration kStartDelay = milliseconds(300);
 // How long a restarted owner leaves its ranges to a backup that has their keys.
 constexpr Duration kOrphanGrace = seconds(3);
+constexpr Duration kSettled = seconds(5);
 constexpr Duration kFirstRetry = milliseconds(200);
 constexpr Duration kLongestRetry = seconds(5);
 // A lost answer of the adapter must not stop the keeper for ever.
@@ -48,18 +48,26 @@
   for (const config::Member& it : context_.view->members) {
     members.insert(it.id);
   }
-  if (!std::includes(members.begin(), members.end(), seen_.begin(),
-                     seen_.end())) {
-    disturbed_ = true;
-    disturbed_at_ = now;
-  }
-  if (members != seen_) {
+  if (members != members_) {
     viewed_at_ = now;
   }
   if (first_view_at_ == TimePoint{}) {
     first_view_at_ = now;
   }
-  seen_ = std::move(members);
+  members_ = std::move(members);
+  // A VM that leaves by plan is not missed.
+  missing_.insert(staying_.begin(), staying_.end());
+  staying_.clear();
+  for (const config::Member& it : context_.view->members) {
+    missing_.erase(it.id);
+    if (it.state != config::MemberState::kLeaving) {
+      staying_.insert(it.id);
+    }
+  }
+  if (!missing_.empty()) {
+    disturbed_ = true;
+    disturbed_at_ = now;
+  }
 }
 
 void RangeKeeper::NoteTime(TimePoint now) {
@@ -106,6 +114,8 @@
   range.complete = false;
   range.owner_incarnation = 0;
   range.orphaned_at = TimePoint{};
+  range.owner_denies = false;
+  range.backup_denies = false;
   range.stopped = false;
   range.role = RangeRole::kNone;
   if (had_role && !backs_up) {
@@ -123,7 +133,11 @@
       (range.role == RangeRole::kOwner && !range.stopped) ||
       (range.role == RangeRole::kBackup && range.complete) || record.epoch == 1;
   if (!has_history) {
-    range.gap_until = now + options_.key_retention + options_.ownership_confirm;
+    range.gap_epoch = record.epoch;
+    range.gap_opens_at =
+        NoneHolds(index) ? now : now + options_.ownership_confirm;
+    range.gap_until = range.gap_opens_at + options_.key_retention;
+    range.gap_announced = false;
   }
   context_.decide(index, has_history ? "own" : "own-with-history-gap");
   range.record = record;
@@ -153,9 +167,7 @@
   range.complete = false;
   owner_.RunAlone(index);
   for (const config::Member& it : context_.view->members) {
-    if (it.id != context_.self) {
-      owner_.Announce(it.id, index);
-    }
+    announcements_[it.id].insert(index);
   }
   retry_at_ = std::min(retry_at_, now + kTickInterval);
 }
@@ -173,6 +185,13 @@
     range.recorded |= from_store;
     return;
   }
+  if (same && !from_store && range.role == RangeRole::kNone &&
+      record.owner == range.record.owner &&
+      range.record.backup == VmId::kNone) {
+    // An owner that took over without the store has got its backup now.
+    range.record = record;
+    return;
+  }
   // The store decides between records of one epoch: only a take-over without it
   // makes a second one.
   if (!newer && !(same && from_store)) {
@@ -213,18 +232,76 @@
     read_wanted_ = false;
   }
   confirmed_at_ = std::max(confirmed_at_, called_at_);
-  if (disturbed_at_ <= called_at_) {
+  if (disturbed_at_ <= called_at_ && missing_.empty()) {
     disturbed_ = false;
   }
 }
 
-void RangeKeeper::OnAnnounce(const protocol::RangesAnnounce& announce,
+void RangeKeeper::OnAnnounce(VmId from,
+                             const protocol::RangesAnnounce& announce,
                              TimePoint now) {
-  for (const auto& it : announce.records()) {
-    Accept(FromProto(it), false, now);
+  for (int i = 0; i < announce.records_size(); ++i) {
+    const KeyRangeRecord record = FromProto(announce.records(i));
+    if (record.range >= kKeyRanges) {
+      continue;
+    }
+    Accept(record, false, now);
+    RangeState& range = context_.ranges[record.range];
+    if (i < announce.open_gaps_size() && announce.open_gaps(i) != 0) {
+      range.known_open_gap = announce.open_gaps(i);
+    }
+    if (record != range.record || i >= announce.no_role_size() ||
+        !announce.no_role(i)) {
+      continue;
+    }
+    const bool denied = range.owner_denies;
+    range.owner_denies |= from == record.owner;
+    range.backup_denies |= from == record.backup;
+    if (from == record.owner && !denied && record.backup == context_.self &&
+        range.role == RangeRole::kNone) {
+      // Both processes are new. The owner may act on this at once.
+      announcements_[from].insert(record.range);
+    }
   }
 }
 
+bool RangeKeeper::NoneHolds(uint32_t index) const {
+  const RangeState& range = context_.ranges[index];
+  const KeyRangeRecord& record = range.record;
+  return (record.owner == context_.self || range.owner_denies) &&
+         (record.backup == context_.self || record.backup == VmId::kNone ||
+          range.backup_denies);
+}
+
+void RangeKeeper::AnnounceGaps(TimePoint now) {
+  for (uint32_t i = 0; i < kKeyRanges; ++i) {
+    RangeState& range = context_.ranges[i];
+    if (range.role != RangeRole::kOwner || range.gap_announced ||
+        now < range.gap_opens_at) {
+      continue;
+    }
+    range.gap_announced = true;
+    range.known_open_gap = range.gap_epoch;
+    for (const config::Member& it : context_.view->members) {
+      announcements_[it.id].insert(i);
+    }
+  }
+}
+
+void RangeKeeper::SendAnnouncements(TimePoint now) {
+  for (const auto& [to, ranges] : announcements_) {
+    if (to == context_.self) {
+      continue;
+    }
+    protocol::RequestMessage message;
+    for (const uint32_t it : ranges) {
+      owner_.AddTo(*message.mutable_ranges_announce(), it, now);
+    }
+    context_.send(to, message);
+  }
+  announcements_.clear();
+}
+
 void RangeKeeper::OnHandover(VmId from,
                              const protocol::RangesHandover& handover,
                              TimePoint now) {
@@ -250,7 +327,7 @@
     if (range.role == RangeRole::kOwner && range.record.epoch > record.epoch) {
       *answer.mutable_ranges_handover()->add_records() = it;
     } else if (range.record.epoch > record.epoch) {
-      owner_.Announce(from, record.range);
+      owner_.Announce(from, record.range, now);
     }
   }
   if (answer.ranges_handover().records_size() > 0) {
@@ -267,22 +344,26 @@
                         context_.MemberOf(range.record.backup) != nullptr)) {
     return false;
   }
+  const VmId backup = range.record.backup;
+  const bool sound = range.recorded && backup != VmId::kNone &&
+                     !range.backup_lost && Usable(backup);
+  if (sound && (moves_left_ == 0 || now - viewed_at_ < kBalanceInterval)) {
+    return false;
+  }
   const VmId best = PickBackup(index);
   if (!range.recorded) {
     *out = {index, range.record.epoch, context_.self, best};
     return true;
   }
   *out = {index, range.record.epoch + 1, context_.self, best};
-  const VmId backup = range.record.backup;
-  if (backup == VmId::kNone || range.backup_lost || !Usable(backup)) {
+  if (!sound) {
     return best != backup || range.backup_lost;
   }
   // Balancing: the range moves to the VM that ranks first, by way of backup.
   const auto& members = context_.view->members;
   const VmId first = config::RankMembers(config::RendezvousSpace::kKeyRange,
                                          index, members, 1)[0];
-  if (first == context_.self || moves_left_ == 0 || !Usable(first) ||
-      now - viewed_at_ < kBalanceInterval) {
+  if (first == context_.self || !Usable(first)) {
     return false;
   }
   if (backup != first) {
@@ -313,24 +394,27 @@
     }
     return context_.MemberOf(owner) == nullptr;
   }
+  // A VM that has just started may not have met the owner yet.
+  const bool settled = now - first_view_at_ >= kSettled || NoneHolds(index);
   if (owner == self && range.record.epoch > 0) {
     if (range.orphaned_at == TimePoint{}) {
       range.orphaned_at = now;
     }
-    if (context_.MemberOf(backup) == nullptr) {
-      return true;
+    if (context_.MemberOf(backup) == nullptr || NoneHolds(index)) {
+      return settled;
     }
     // Tells the backup that this is a new process.
-    owner_.Announce(backup, index);
+    announcements_[backup].insert(index);
     return now - range.orphaned_at >= kOrphanGrace;
   }
   if (context_.MemberOf(owner) != nullptr) {
     return false;
   }
   if (backup == self) {
-    return true;
+    return settled;
   }
-  return context_.MemberOf(backup) == nullptr &&
+  return (settled || range.record.epoch == 0) &&
+         context_.MemberOf(backup) == nullptr &&
          config::RankMembers(config::RendezvousSpace::kKeyRange, index,
                              context_.view->members, 1)[0] == self;
 }
@@ -363,6 +447,7 @@
       proposed_epochs_[i] = record.epoch;
     }
   }
+  moves_left_ = 0;
   if (!wanted.empty()) {
     call_ = StoreCall::kRecord;
     called_at_ = now;
@@ -411,6 +496,8 @@
       now - first_view_at_ >= kStartDelay) {
     CallStore(now);
   }
+  AnnounceGaps(now);
+  SendAnnouncements(now);
 }
 
 bool RangeKeeper::HandedOver() const {
--- a/src/request/range_keeper.h
+++ b/src/request/range_keeper.h
@@ -9,14 +9,15 @@
 // would run a key twice.
 //
 // A VM may also take over a range of which it holds no keys, when owner and
-// backup are both gone. The range then has a history gap, in which only first
-// attempts run. The old pair may still be alive on the other side of a
-// partition, so an owner that has lost sight of a VM stops granting when the
-// store has not confirmed its ownership for `ownership_confirm`, and the gap is
-// longer than the retention of keys by that time.
+// backup are both gone. The range then has a history gap (RangeState), in which
+// only first attempts run. The old pair may still be alive on the other side of
+// a partition, so an owner that misses any VM stops granting when the store has
+// not confirmed its ownership for `ownership_confirm`, and the gap
+// opens only after that time, unless both have said that they hold no role.
 #ifndef MARJORAMHALL_REQUEST_RANGE_KEEPER_H_
 #define MARJORAMHALL_REQUEST_RANGE_KEEPER_H_
 
+#include <map>
 #include <set>
 #include <string_view>
 #include <vector>
@@ -43,7 +44,9 @@
   void OnRangesRecorded(bool ok,
                         const std::vector<KeyRangeRecord>& records,
                         TimePoint now);
-  void OnAnnounce(const protocol::RangesAnnounce& announce, TimePoint now);
+  void OnAnnounce(VmId from,
+                  const protocol::RangesAnnounce& announce,
+                  TimePoint now);
   void OnHandover(VmId from,
                   const protocol::RangesHandover& handover,
                   TimePoint now);
@@ -77,6 +80,9 @@
   bool WantedAsOther(uint32_t range, TimePoint now, KeyRangeRecord* out);
   void SendHandovers(TimePoint now);
   void CallStore(TimePoint now);
+  bool NoneHolds(uint32_t range) const;
+  void AnnounceGaps(TimePoint now);
+  void SendAnnouncements(TimePoint now);
 
   const RequestPlaneOptions& options_;
   KeyContext& context_;
@@ -97,17 +103,24 @@
   bool read_hint_ = false;
   bool handing_over_ = false;
   TimePoint confirmed_at_{};
-  // A VM left the view or this process was paused; see MayOwn().
+  // A VM was missing or this process was paused at some time since the store
+  // last confirmed its ownership; others may have taken ranges over.
   bool disturbed_ = false;
   TimePoint disturbed_at_{};
+  // VMs that vanished and have not come back. They may be alive behind a
+  // partition.
+  std::set<VmId> missing_;
+  std::set<VmId> staying_;  // members of the newest view that are not leaving
   TimePoint viewed_at_{};
   TimePoint first_view_at_{};
-  std::set<VmId> seen_;
+  std::set<VmId> members_;
   TimePoint last_event_{};
   TimePoint ticked_at_{};
   TimePoint handed_at_{};
   TimePoint balanced_at_{};
   size_t moves_left_ = 0;  // of this round of balancing
+  // Ranges to announce at the end of the tick, one message a VM.
+  std::map<VmId, std::set<uint32_t>> announcements_;
 };
 
 }  // namespace marjoramhall::request
--- a/src/request/request_options.h
+++ b/src/request/request_options.h
@@ -31,7 +31,7 @@
   Duration key_retention = std::chrono::seconds(600);
   size_t max_keys = 100000;
   size_t max_answer_bytes = size_t{32} << 20;
-  // An owner that has lost sight of a VM grants no claim when the store has not
+  // An owner that misses a VM grants no claim when the store has not
   // confirmed its ownership for this long.
   Duration ownership_confirm = std::chrono::seconds(300);
   Duration claim_resend = std::chrono::milliseconds(100);
--- a/src/request/request_plane.cc
+++ b/src/request/request_plane.cc
@@ -68,7 +68,8 @@
   hooks.learn = [this](const protocol::KeyReply& reply, TimePoint now) {
     protocol::RangesAnnounce announce;
     *announce.add_records() = reply.record();
-    range_keeper_.OnAnnounce(announce, now);
+    // The replier speaks of the record only, not of its own role.
+    range_keeper_.OnAnnounce(VmId::kNone, announce, now);
   };
   return hooks;
 }
@@ -217,8 +218,8 @@
       if (it == services_.end() || it->second.allocator == nullptr) {
         return true;
       }
-      if (report.epoch() > it->second.allocator->epoch()) {
-        // Another VM has been the allocator since; its table must be rebuilt.
+      if (it->second.allocator->IsOutdatedBy(from, report)) {
+        // Another allocator has granted since; its table must be rebuilt.
         it->second.allocator = std::make_unique<SlotAllocator>(
             options_, it->first, report.epoch() + 1, now, lost_member_at_);
         it->second.allocator->OnView(*view_, it->second.runner->service(), now);
@@ -300,7 +301,7 @@
       break;
     case RequestMessage::kRangesAnnounce:
       if (view_ != nullptr) {
-        range_keeper_.OnAnnounce(message.ranges_announce(), now);
+        range_keeper_.OnAnnounce(from, message.ranges_announce(), now);
       }
       break;
     default:
--- a/src/request/slot_allocator.cc
+++ b/src/request/slot_allocator.cc
@@ -112,6 +112,14 @@
   dirty_ = true;
 }
 
+bool SlotAllocator::IsOutdatedBy(VmId from,
+                                 const protocol::SlotReport& report) const {
+  const auto it = vms_.find(from);
+  const uint64_t sequence = it == vms_.end() ? 0 : it->second.sequence;
+  return report.epoch() > epoch_ ||
+         (report.epoch() == epoch_ && report.applied() > sequence);
+}
+
 void SlotAllocator::OnReport(VmId from,
                              Incarnation incarnation,
                              const protocol::SlotReport& report,
--- a/src/request/slot_allocator.h
+++ b/src/request/slot_allocator.h
@@ -43,6 +43,9 @@
   void OnView(const config::ControlView& view,
               const config::Service& service,
               TimePoint now);
+  // True when the VM follows a newer allocator than this one: one of a higher
+  // epoch, or an earlier process of this VM that used the same epoch.
+  bool IsOutdatedBy(VmId from, const protocol::SlotReport& report) const;
   void OnReport(VmId from,
                 Incarnation incarnation,
                 const protocol::SlotReport& report,
--- /dev/null
+++ b/tests/request/fake_fleet.cc
@@ -0,0 +1,505 @@
+// Virtual-time fleet of request plane cores.
+#include "tests/request/fake_fleet.h"
+
+#include <algorithm>
+
+namespace marjoramhall::request {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr Duration kDetection = seconds(5);
+
+AttemptResult Outcome(AttemptOutcome outcome) {
+  AttemptResult result;
+  result.outcome = outcome;
+  return result;
+}
+
+VmId IdOf(size_t vm) {
+  return static_cast<VmId>(vm + 1);
+}
+
+}  // namespace
+
+FakeFleet::FakeFleet(FleetOptions options)
+    : service_time([] { return milliseconds(20); }),
+      options_(std::move(options)),
+      random_(options_.seed),
+      vms_(options_.vms),
+      cut_(options_.vms, std::vector<bool>(options_.vms)),
+      in_flight_(options_.targets),
+      started_(options_.targets) {
+  deployment_ = std::make_shared<config::Deployment>();
+  deployment_->lineage = "test";
+  deployment_->revision = 1;
+  config::Service service;
+  service.id = static_cast<ServiceId>(1);
+  service.name = "yardbook";
+  service.kinds.resize(3);
+  service.kinds[0] = {
+      "pull", "GET", "/", true, seconds(2), config::Priority::kShort, {}, {}};
+  service.kinds[1] = {"quote", "POST",     "/",
+                      false,   seconds(4), config::Priority::kShort,
+                      {},      {}};
+  service.kinds[2] = {
+      "bundle", "GET", "/b", true, seconds(8), config::Priority::kLong, {}, {}};
+  for (size_t i = 0; i < options_.targets; ++i) {
+    config::Target target;
+    target.id = static_cast<TargetId>(i + 1);
+    target.domain = "d" + std::to_string(i % 3);
+    target.slots = options_.slots;
+    service.targets.push_back(target);
+  }
+  deployment_->services.push_back(service);
+  for (size_t i = 0; i < vms_.size(); ++i) {
+    Start(i);
+  }
+  At(Duration{0}, [this] { UpdateViews(); });
+}
+
+bool FakeFleet::Chance(double probability) {
+  return static_cast<double>(random_.Below(1000000)) < probability * 1e6;
+}
+
+Duration FakeFleet::Delay() {
+  return Duration(200 +
+                  static_cast<int64_t>(random_.Below(
+                      static_cast<uint64_t>(options_.longest_delay.count()))));
+}
+
+void FakeFleet::Fail(std::string what) {
+  if (faults_.size() < 20) {
+    faults_.push_back(std::to_string(now_.time_since_epoch().count() / 1000) +
+                      " ms: " + std::move(what));
+  }
+}
+
+void FakeFleet::At(Duration after, std::function<void()> action) {
+  events_.push({now_ + after, ++order_, std::move(action)});
+}
+
+void FakeFleet::RunFor(Duration time) {
+  const TimePoint end = now_ + time;
+  while (!events_.empty() && events_.top().at <= end) {
+    Event event = events_.top();
+    events_.pop();
+    now_ = event.at;
+    event.action();
+  }
+  now_ = end;
+}
+
+void FakeFleet::OnVm(size_t vm,
+                     Incarnation incarnation,
+                     std::function<void()> action) {
+  Vm& it = vms_[vm];
+  if (it.plane == nullptr || it.incarnation != incarnation) {
+    return;
+  }
+  if (it.paused) {
+    it.held.push_back(std::move(action));
+    return;
+  }
+  action();
+}
+
+void FakeFleet::Resume(size_t vm) {
+  Vm& it = vms_[vm];
+  it.paused = false;
+  auto held = std::move(it.held);
+  it.held.clear();
+  for (auto& action : held) {
+    OnVm(vm, it.incarnation, std::move(action));
+  }
+}
+
+RequestHooks FakeFleet::MakeHooks(size_t vm) {
+  RequestHooks hooks;
+  hooks.start_attempt = [this, vm](RequestId id, uint32_t number,
+                                   const config::Target& target, Duration) {
+    StartAttempt(vm, id, number, target.id);
+  };
+  hooks.cancel_attempt = [this, vm](RequestId id, uint32_t number) {
+    const Incarnation incarnation = vms_[vm].incarnation;
+    for (const auto& it : attempts_) {
+      if (it->vm == vm && it->incarnation == incarnation && it->id == id &&
+          it->number == number) {
+        At(milliseconds(1),
+           [this, it] { EndAttempt(it, Outcome(AttemptOutcome::kCancelled)); });
+      }
+    }
+  };
+  hooks.refuse = [this, vm](RequestId id, const Refusal& refusal) {
+    ++refusals_[refusal.reason];
+    End(vm, id,
+        std::to_string(refusal.status) + " " +
+            std::string(NameOf(refusal.reason)) + " " +
+            std::string(NameOf(refusal.verdict)),
+        refusal.verdict);
+  };
+  hooks.replay = [this, vm](RequestId id, const StoredAnswer& answer) {
+    ++answered_;
+    End(vm, id, "replayed " + answer.body, Verdict::kAnswered);
+  };
+  hooks.record_ranges = [this, vm](std::vector<KeyRangeRecord> records) {
+    StoreCall(vm, std::move(records));
+  };
+  hooks.read_ranges = [this, vm] { StoreCall(vm, std::nullopt); };
+  return hooks;
+}
+
+void FakeFleet::Start(size_t vm) {
+  Vm& it = vms_[vm];
+  it.incarnation = static_cast<Incarnation>(now_.time_since_epoch().count());
+  it.heard.assign(vms_.size(), now_ - kDetection);
+  it.members.clear();
+  it.paused = false;
+  it.leaving = false;
+  it.revision = 0;
+  it.held.clear();
+  it.subs.clear();
+  it.next_id = 1;
+  it.plane = std::make_unique<RequestPlane>(
+      options_.plane, IdOf(vm), it.incarnation, MakeHooks(vm),
+      [this, vm](VmId to, PeerChannel, std::string payload) {
+        SendMessage(vm, to, std::move(payload));
+      },
+      [this, vm](const Decision& decision) {
+        if (options_.trace) {
+          options_.trace(now_, vm, decision);
+        }
+      },
+      random_.Next());
+  const Incarnation incarnation = it.incarnation;
+  At(Duration(random_.Below(10000)), [this, vm, incarnation] {
+    OnVm(vm, incarnation, [this, vm] { Tick(vm); });
+  });
+}
+
+void FakeFleet::Tick(size_t vm) {
+  vms_[vm].plane->OnTick(now_);
+  const Incarnation incarnation = vms_[vm].incarnation;
+  At(milliseconds(10), [this, vm, incarnation] {
+    OnVm(vm, incarnation, [this, vm] { Tick(vm); });
+  });
+}
+
+void FakeFleet::Kill(size_t vm) {
+  Vm& it = vms_[vm];
+  it.plane.reset();
+  it.held.clear();
+  for (const auto& [id, number] : it.subs) {
+    // The caller sees its connection break and may submit again.
+    Submission& sub = subs_[number];
+    sub.lost = true;
+    if (sub.after) {
+      At(milliseconds(50), sub.after);
+    }
+  }
+  it.subs.clear();
+}
+
+void FakeFleet::Restart(size_t vm) {
+  if (vms_[vm].plane != nullptr) {
+    Kill(vm);
+  }
+  Start(vm);
+}
+
+void FakeFleet::Drain(size_t vm) {
+  vms_[vm].leaving = true;
+  vms_[vm].plane->BeginDrain(now_);
+}
+
+void FakeFleet::SetTargetDraining(size_t target) {
+  auto next = std::make_shared<config::Deployment>(*deployment_);
+  ++next->revision;
+  next->services[0].targets[target].state = config::TargetState::kDraining;
+  deployment_ = std::move(next);
+}
+
+void FakeFleet::Heal() {
+  options_.loss = options_.repeat = options_.lost_store_answer = 0;
+  options_.attempt_failure = 0;
+  options_.longest_delay = milliseconds(2);
+  store_down_ = false;
+  for (auto& row : cut_) {
+    row.assign(row.size(), false);
+  }
+  for (size_t i = 0; i < vms_.size(); ++i) {
+    if (vms_[i].plane == nullptr) {
+      Start(i);
+    } else if (vms_[i].paused) {
+      Resume(i);
+    }
+  }
+}
+
+void FakeFleet::UpdateViews() {
+  At(milliseconds(200), [this] { UpdateViews(); });
+  for (size_t i = 0; i < vms_.size(); ++i) {
+    Vm& vm = vms_[i];
+    if (vm.plane == nullptr || vm.paused) {
+      continue;
+    }
+    std::set<size_t> members;
+    auto view = std::make_shared<config::ControlView>();
+    for (size_t j = 0; j < vms_.size(); ++j) {
+      const bool up = vms_[j].plane != nullptr && !vms_[j].paused;
+      if (up && !cut_[j][i] && !cut_[i][j]) {
+        vm.heard[j] = now_;
+      }
+      if (j != i && now_ - vm.heard[j] >= kDetection) {
+        continue;
+      }
+      members.insert(vms_[j].leaving ? j + 1000 : j);
+      config::Member member;
+      member.id = IdOf(j);
+      member.domain = "d" + std::to_string(j % 3);
+      member.incarnation = vms_[j].incarnation;
+      member.state = vms_[j].leaving ? config::MemberState::kLeaving
+                                     : config::MemberState::kAlive;
+      view->members.push_back(member);
+    }
+    if (members == vm.members && vm.revision == deployment_->revision) {
+      continue;
+    }
+    vm.members = std::move(members);
+    vm.revision = deployment_->revision;
+    view->number = ++vm.view_number;
+    view->self = IdOf(i);
+    view->deployment = deployment_;
+    vm.plane->OnView(view, now_);
+  }
+}
+
+void FakeFleet::SendMessage(size_t from, VmId to, std::string payload) {
+  const size_t receiver = ToInteger(to) - 1;
+  if (cut_[from][receiver] || Chance(options_.loss)) {
+    return;
+  }
+  for (int copies = Chance(options_.repeat) ? 2 : 1; copies > 0; --copies) {
+    At(Delay(), [this, from, receiver, payload] {
+      OnVm(receiver, vms_[receiver].incarnation,
+           [this, from, receiver, payload] {
+             vms_[receiver].plane->OnPeerMessage(IdOf(from), payload, now_);
+           });
+    });
+  }
+}
+
+void FakeFleet::StartAttempt(size_t vm,
+                             RequestId id,
+                             uint32_t number,
+                             TargetId target) {
+  const auto sub = vms_[vm].subs.find(id);
+  if (sub == vms_[vm].subs.end()) {
+    Fail("attempt of a request that has ended");
+    return;
+  }
+  auto attempt =
+      std::make_shared<Attempt>(Attempt{vm, vms_[vm].incarnation, id, number,
+                                        ToInteger(target) - 1, sub->second});
+  std::erase_if(attempts_, [](const auto& it) { return it->done; });
+  attempts_.push_back(attempt);
+  ++in_flight_[attempt->target];
+  ++started_[attempt->target];
+  const bool fails = Chance(options_.attempt_failure);
+  if (fails && Chance(0.5)) {
+    At(milliseconds(1), [this, attempt] {
+      EndAttempt(attempt, Outcome(AttemptOutcome::kNotRun));
+    });
+    return;
+  }
+  At(milliseconds(1), [this, attempt] { Execute(attempt); });
+  At(milliseconds(2) + (fails ? Duration{0} : service_time()),
+     [this, attempt, fails] {
+       AttemptResult result;
+       result.outcome =
+           fails ? AttemptOutcome::kMayHaveRun : AttemptOutcome::kAnswered;
+       result.status = 200;
+       if (!fails) {
+         result.answer_stored = true;
+         result.answer = {200, {}, subs_[attempt->sub].key};
+       }
+       EndAttempt(attempt, result);
+     });
+}
+
+void FakeFleet::Execute(const std::shared_ptr<Attempt>& attempt) {
+  // A request on its way runs even when its VM has died meanwhile.
+  Submission& sub = subs_[attempt->sub];
+  if (sub.ends > 0 && sub.verdict == Verdict::kNotRun) {
+    Fail("not-run is false for " + sub.key + ": " + sub.end);
+  }
+  sub.executed = true;
+  if (!sub.key.empty() && ++executions_[sub.key] > 1) {
+    Fail("key " + sub.key + " ran twice");
+  }
+}
+
+void FakeFleet::EndAttempt(const std::shared_ptr<Attempt>& attempt,
+                           AttemptResult result) {
+  if (attempt->done) {
+    return;
+  }
+  attempt->done = true;
+  --in_flight_[attempt->target];
+  OnVm(attempt->vm, attempt->incarnation, [this, attempt, result] {
+    const size_t vm = attempt->vm;
+    const auto sub = vms_[vm].subs.find(attempt->id);
+    if (result.outcome == AttemptOutcome::kAnswered &&
+        sub != vms_[vm].subs.end()) {
+      ++answered_;
+      End(vm, attempt->id, "answered", Verdict::kAnswered);
+    }
+    vms_[vm].plane->OnAttemptEnd(attempt->id, attempt->number, result, now_);
+  });
+}
+
+void FakeFleet::StoreCall(size_t vm,
+                          std::optional<std::vector<KeyRangeRecord>> records) {
+  const Incarnation incarnation = vms_[vm].incarnation;
+  At(Delay(), [this, vm, incarnation, records] {
+    bool ok = !store_down_;
+    if (ok && records.has_value()) {
+      for (const KeyRangeRecord& it : *records) {
+        ok = ok && store_[it.range].epoch + 1 == it.epoch;
+      }
+      for (size_t i = 0; ok && i < records->size(); ++i) {
+        store_[(*records)[i].range] = (*records)[i];
+      }
+    }
+    ok = ok && !Chance(options_.lost_store_answer);
+    std::vector<KeyRangeRecord> table;
+    for (const auto& [range, record] : store_) {
+      if (ok && record.epoch > 0) {
+        table.push_back(record);
+      }
+    }
+    At(Delay(), [this, vm, incarnation, ok, table] {
+      OnVm(vm, incarnation, [this, vm, ok, table] {
+        vms_[vm].plane->OnRangesRecorded(ok, table, now_);
+      });
+    });
+  });
+}
+
+void FakeFleet::End(size_t vm, RequestId id, std::string how, Verdict verdict) {
+  const auto it = vms_[vm].subs.find(id);
+  if (it == vms_[vm].subs.end()) {
+    Fail("request ended twice: " + how);
+    return;
+  }
+  Submission& sub = subs_[it->second];
+  vms_[vm].subs.erase(it);
+  ++sub.ends;
+  sub.end = std::move(how);
+  sub.verdict = verdict;
+  if (verdict == Verdict::kNotRun && sub.executed) {
+    Fail("not-run is false for " + sub.key + ": " + sub.end);
+  }
+  if (sub.after) {
+    At(milliseconds(1), sub.after);
+  }
+}
+
+size_t FakeFleet::SubmitOnce(size_t vm,
+                             const std::string& key,
+                             size_t kind,
+                             bool first) {
+  Submission sub;
+  sub.vm = vm;
+  sub.id = vms_[vm].next_id++;
+  // Ids restart with the process, as in a real VM.
+  sub.key = key;
+  const size_t number = subs_.size();
+  vms_[vm].subs[sub.id] = number;
+  subs_.push_back(sub);
+  RequestInfo info;
+  info.id = sub.id;
+  info.service = static_cast<ServiceId>(1);
+  info.kind = kind;
+  info.caller = "caller";
+  info.idempotency_key = key;
+  info.fingerprint = 7;
+  info.declared_first_attempt = first;
+  OnVm(vm, vms_[vm].incarnation,
+       [this, vm, info] { vms_[vm].plane->OnRequest(info, now_); });
+  return number;
+}
+
+void FakeFleet::Submit(size_t vm, const std::string& key, bool first) {
+  SubmitAgain(vm, key, options_.submissions, first,
+              now_ + options_.plane.key_retention * 3 / 4);
+}
+
+void FakeFleet::SubmitAgain(size_t vm,
+                            std::string key,
+                            size_t left,
+                            bool first,
+                            TimePoint until) {
+  while (vms_[vm].plane == nullptr) {
+    vm = (vm + 1) % vms_.size();
+  }
+  // Callers of keyed requests submit again after every end but an answer.
+  const size_t number = SubmitOnce(vm, key, key.empty() ? 0 : 1, first);
+  if (key.empty() || left <= 1) {
+    return;
+  }
+  auto again = [this, number, key, left, until] {
+    if (subs_[number].verdict != Verdict::kAnswered || subs_[number].lost) {
+      At(Duration(random_.Below(2000000)), [this, key, left, until] {
+        if (now_ < until) {
+          SubmitAgain(random_.Below(vms_.size()), key, left - 1, false, until);
+        }
+      });
+    }
+  };
+  subs_[number].after = again;
+  // An impatient caller submits again while the first is still running.
+  if (Chance(0.1)) {
+    again();
+  }
+}
+
+void FakeFleet::CheckAtRest() {
+  for (const Submission& it : subs_) {
+    if (!it.lost && it.ends != 1) {
+      Fail("request " + it.key + " ended " + std::to_string(it.ends) +
+           " times");
+    }
+  }
+}
+
+void FakeFleet::CheckSlots() {
+  for (size_t i = 0; i < in_flight_.size(); ++i) {
+    const auto& target = deployment_->services[0].targets[i];
+    if (in_flight_[i] > target.slots + target.queue) {
+      Fail("target " + std::to_string(i) + " has " +
+           std::to_string(in_flight_[i]) + " in flight");
+    }
+  }
+}
+
+size_t FakeFleet::Executions(const std::string& key) const {
+  const auto it = executions_.find(key);
+  return it == executions_.end() ? 0 : it->second;
+}
+
+size_t FakeFleet::refused(RefusalReason reason) const {
+  const auto it = refusals_.find(reason);
+  return it == refusals_.end() ? 0 : it->second;
+}
+
+size_t FakeFleet::InFlight(size_t target) const {
+  return in_flight_[target];
+}
+
+std::string FakeFleet::EndOf(size_t submission) const {
+  return subs_[submission].end;
+}
+
+}  // namespace marjoramhall::request
--- /dev/null
+++ b/tests/request/request_plane_test.cc
@@ -0,0 +1,258 @@
+// The at-most-once ledger and the slots under faults. Guards against a key that
+// runs twice, a "not run" that is false, a request that ends twice or never,
+// and targets that get more than their slots.
+#include "src/request/request_plane.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include "tests/request/fake_fleet.h"
+
+namespace marjoramhall::request {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+FleetOptions SmallFleet(size_t vms, size_t targets, uint32_t slots) {
+  FleetOptions options;
+  options.vms = vms;
+  options.targets = targets;
+  options.slots = slots;
+  return options;
+}
+
+FleetOptions FaultyOptions(uint64_t seed) {
+  FleetOptions options;
+  options.seed = seed;
+  options.loss = 0.05;
+  options.repeat = 0.05;
+  options.longest_delay = milliseconds(50);
+  options.attempt_failure = 0.05;
+  options.lost_store_answer = 0.1;
+  // Short times, so that gaps and retention end within a run.
+  options.plane.key_retention = seconds(30);
+  options.plane.ownership_confirm = seconds(8);
+  return options;
+}
+
+// A smaller seed is no simpler case, so there is nothing to shrink.
+uint64_t AnySeed() {
+  return *rc::gen::noShrink(rc::gen::arbitrary<uint64_t>());
+}
+
+void InjectFault(FakeFleet& fleet, RandomSource& random) {
+  const size_t vm = random.Below(5);
+  const size_t other = (vm + 1 + random.Below(4)) % 5;
+  switch (random.Below(9)) {
+    case 0:
+      if (fleet.Alive(vm)) {
+        fleet.Kill(vm);
+      }
+      break;
+    case 1:
+      fleet.Restart(vm);
+      break;
+    case 2:
+      if (fleet.Alive(vm)) {
+        fleet.Pause(vm);
+        fleet.At(milliseconds(random.Below(20000)),
+                 [&fleet, vm] { fleet.Resume(vm); });
+      }
+      break;
+    case 3:
+    case 4: {
+      // One side of a partition.
+      const size_t size = 1 + random.Below(2);
+      for (size_t i = 0; i < 5; ++i) {
+        for (size_t j = 0; j < 5; ++j) {
+          if ((i < size) != (j < size)) {
+            fleet.CutOneWay(i, j, true);
+          }
+        }
+      }
+      break;
+    }
+    case 5:
+      fleet.CutOneWay(vm, other, true);
+      break;
+    case 6:
+      fleet.SetStoreDown(true);
+      break;
+    case 7:
+      fleet.SetStoreDown(false);
+      break;
+    default:
+      for (size_t i = 0; i < 5; ++i) {
+        for (size_t j = 0; j < 5; ++j) {
+          fleet.CutOneWay(i, j, false);
+        }
+        if (!fleet.Alive(i) && random.Below(2) == 0) {
+          fleet.Restart(i);
+        }
+      }
+  }
+}
+
+RC_GTEST_PROP(RequestPlaneProperty, EachKeyRunsAtMostOnce, ()) {
+  const uint64_t seed = AnySeed();
+  FakeFleet fleet(FaultyOptions(seed));
+  RandomSource random(seed);
+  fleet.RunFor(seconds(3));
+  size_t next_key = 0;
+  for (int step = 0; step < 20; ++step) {
+    if (random.Below(2) == 0) {
+      InjectFault(fleet, random);
+    }
+    for (int i = 0; i < 10; ++i) {
+      fleet.At(milliseconds(random.Below(2000)), [&] {
+        fleet.Submit(random.Below(5), "k" + std::to_string(next_key++));
+        fleet.Submit(random.Below(5), "");
+      });
+    }
+    fleet.RunFor(seconds(2));
+    for (const std::string& it : fleet.faults()) {
+      RC_FAIL(it);
+    }
+  }
+  fleet.Heal();
+  fleet.RunFor(seconds(60));
+  fleet.CheckAtRest();
+  fleet.CheckSlots();
+  for (const std::string& it : fleet.faults()) {
+    RC_FAIL(it);
+  }
+  // After the faults, everything works again.
+  std::vector<size_t> last;
+  for (int i = 0; i < 20; ++i) {
+    last.push_back(fleet.SubmitOnce(static_cast<size_t>(i) % 5,
+                                    "z" + std::to_string(i), 1, true));
+  }
+  fleet.RunFor(seconds(5));
+  for (const size_t it : last) {
+    RC_ASSERT(fleet.EndOf(it) == "answered");
+  }
+}
+
+RC_GTEST_PROP(RequestPlaneProperty, SlotsHoldInSteadyState, ()) {
+  const uint64_t seed = AnySeed();
+  FleetOptions options;
+  options.seed = seed;
+  options.loss = 0.02;
+  FakeFleet fleet(options);
+  RandomSource random(seed);
+  fleet.service_time = [&] { return milliseconds(10 + random.Below(200)); };
+  fleet.RunFor(seconds(2));
+  // Load that moves from VM to VM and exceeds the slots at times.
+  for (int step = 0; step < 400; ++step) {
+    const size_t favourite = static_cast<size_t>(step) / 100;
+    for (uint64_t n = random.Below(10); n > 0; --n) {
+      fleet.SubmitOnce(random.Below(2) == 0 ? favourite : random.Below(5), "",
+                       random.Below(2) * 2, true);
+    }
+    fleet.RunFor(milliseconds(20));
+    fleet.CheckSlots();
+  }
+  fleet.RunFor(seconds(20));
+  fleet.CheckAtRest();
+  for (const std::string& it : fleet.faults()) {
+    RC_FAIL(it);
+  }
+}
+
+TEST(RequestPlaneTest, SlotsFollowDemand) {
+  FakeFleet fleet(SmallFleet(3, 6, 3));
+  fleet.service_time = [] { return milliseconds(500); };
+  fleet.RunFor(seconds(2));
+  for (int i = 0; i < 16; ++i) {
+    fleet.SubmitOnce(0, "", 0, true);
+  }
+  fleet.RunFor(milliseconds(400));
+  // 6 slots are a third of all; the rest must have come from the idle VMs.
+  EXPECT_GE(fleet.plane(0).Stats().slots_in_use, 12U);
+}
+
+TEST(RequestPlaneTest, SlotsOfADeadVmReturn) {
+  FakeFleet fleet(SmallFleet(3, 6, 3));
+  fleet.RunFor(seconds(2));
+  fleet.Kill(1);
+  fleet.RunFor(seconds(16));
+  EXPECT_EQ(
+      fleet.plane(0).Stats().slots_held + fleet.plane(2).Stats().slots_held,
+      18U);
+}
+
+TEST(RequestPlaneTest, DrainingTargetGetsNothingNew) {
+  FakeFleet fleet(SmallFleet(3, 3, 3));
+  fleet.RunFor(seconds(2));
+  fleet.SetTargetDraining(1);
+  fleet.RunFor(milliseconds(500));
+  const size_t before = fleet.StartedAt(1);
+  for (int i = 0; i < 60; ++i) {
+    fleet.SubmitOnce(static_cast<size_t>(i) % 3, "", 0, true);
+    fleet.RunFor(milliseconds(20));
+  }
+  EXPECT_EQ(fleet.StartedAt(1), before);
+}
+
+TEST(RequestPlaneTest, DrainingVmFinishesAndHandsItsRangesOver) {
+  FakeFleet fleet(SmallFleet(3, 6, 3));
+  fleet.RunFor(seconds(5));
+  for (int i = 0; i < 30; ++i) {
+    fleet.SubmitOnce(static_cast<size_t>(i) % 3, "k" + std::to_string(i), 1,
+                     true);
+  }
+  fleet.RunFor(milliseconds(10));
+  // A stop by plan must not need the store.
+  fleet.SetStoreDown(true);
+  fleet.Drain(1);
+  fleet.RunFor(seconds(2));
+  EXPECT_TRUE(fleet.plane(1).IsDrained());
+  EXPECT_EQ(fleet.plane(1).Stats().ranges_owned, 0U);
+  EXPECT_EQ(fleet.answered(), 30U);
+  fleet.Kill(1);
+  // The handed-over keys are still known.
+  for (int i = 0; i < 30; ++i) {
+    fleet.SubmitOnce(0, "k" + std::to_string(i), 1, false);
+  }
+  fleet.RunFor(seconds(1));
+  EXPECT_EQ(fleet.answered(), 60U);
+  fleet.CheckAtRest();
+  EXPECT_TRUE(fleet.faults().empty());
+}
+
+TEST(RequestPlaneTest, BackupTakesOverWithItsHistory) {
+  FakeFleet fleet(SmallFleet(3, 6, 3));
+  fleet.RunFor(seconds(5));
+  for (int i = 0; i < 30; ++i) {
+    fleet.SubmitOnce(0, "k" + std::to_string(i), 1, true);
+  }
+  fleet.RunFor(seconds(1));
+  fleet.Kill(1);
+  fleet.RunFor(seconds(8));
+  for (int i = 0; i < 30; ++i) {
+    fleet.SubmitOnce(2, "k" + std::to_string(i), 1, false);
+    fleet.SubmitOnce(2, "n" + std::to_string(i), 1, false);
+  }
+  fleet.RunFor(seconds(1));
+  EXPECT_EQ(fleet.answered(), 90U);
+  EXPECT_EQ(fleet.refused(RefusalReason::kKeyHistoryLost), 0U);
+}
+
+TEST(RequestPlaneTest, LostHistoryRunsOnlyFirstAttempts) {
+  FakeFleet fleet(SmallFleet(2, 6, 3));
+  fleet.RunFor(seconds(5));
+  fleet.Restart(0);
+  fleet.Restart(1);
+  fleet.RunFor(seconds(15));
+  for (int i = 0; i < 10; ++i) {
+    fleet.SubmitOnce(0, "a" + std::to_string(i), 1, true);
+    fleet.SubmitOnce(0, "b" + std::to_string(i), 1, false);
+  }
+  fleet.RunFor(seconds(1));
+  EXPECT_EQ(fleet.answered(), 10U);
+  EXPECT_EQ(fleet.refused(RefusalReason::kKeyHistoryLost), 10U);
+}
+
+}  // namespace
+}  // namespace marjoramhall::request
