--- a/src/control/store_counter.cc
+++ b/src/control/store_counter.cc
@@ -18,7 +18,7 @@
 }  // namespace
 
 StoreClient CountCalls(StoreClient inner,
-                       std::shared_ptr<StoreCallCounts> counts) {
+                       const std::shared_ptr<StoreCallCounts>& counts) {
   auto shared = std::make_shared<StoreClient>(std::move(inner));
   StoreClient result;
   result.read = [shared, counts](const std::string& key, ReadDone done) {
--- a/src/control/store_counter.h
+++ b/src/control/store_counter.h
@@ -20,7 +20,7 @@
 
 // Returns a client that counts into `counts` and passes every call on.
 StoreClient CountCalls(StoreClient inner,
-                       std::shared_ptr<StoreCallCounts> counts);
+                       const std::shared_ptr<StoreCallCounts>& counts);
 
 }  // namespace marjoramhall::control
 
