Add stand-in targets and callers over HTTP/2 to the lab

End-to-end runs need targets that record what they executed and callers that check every answer. http-targets serves many targets in one process (slots, queue, log-normal service times with stragglers, cold start, shedding, reports that lag or mislead, control paths below /lab/). http-load sends an open-loop mix, resubmits a key at another VM, and compares what it was told with what the targets executed, "not run" refusals included.

--- a/lab/main.cc
+++ b/lab/main.cc
@@ -7,6 +7,7 @@
 #include <string_view>
 #include <vector>
 
+#include "lab/http_commands.h"
 #include "lab/ports.h"
 
 namespace {
@@ -20,6 +21,10 @@
 const std::vector<Command>& Commands() {
   static const std::vector<Command> kCommands = {
       {"ports", "print N free loopback ports", marjoramhall::lab::RunPorts},
+      {"http-targets", "run stand-in targets",
+       marjoramhall::lab::RunHttpTargets},
+      {"http-load", "send requests and check the answers",
+       marjoramhall::lab::RunHttpLoad},
   };
   return kCommands;
 }
--- /dev/null
+++ b/tests/lab/http_lab_test.cc
@@ -0,0 +1,347 @@
+// The lab's callers and targets, first against each other and then through
+// request paths with the real core, on real sockets.
+#include <gtest/gtest.h>
+
+#include <asio/io_context.hpp>
+#include <nlohmann/json.hpp>
+
+#include "lab/http_body.h"
+#include "lab/http_commands.h"
+#include "lab/http_load.h"
+#include "lab/http_load_verify.h"
+#include "lab/http_target_group.h"
+#include "src/net/request_path.h"
+
+namespace marjoramhall::lab {
+namespace {
+
+Endpoint Loopback(uint16_t port) {
+  return {IpAddress::FromV4(0x7f000001), port};
+}
+
+class HttpLabTest : public ::testing::Test {
+ protected:
+  ~HttpLabTest() override {
+    for (const auto& it : group_.targets()) {
+      it->Kill();
+    }
+    paths_.clear();
+    io_.restart();
+    io_.run_for(std::chrono::milliseconds(20));
+  }
+
+  void AddTargets(int count, StandInOptions options) {
+    options.listen = Loopback(0);
+    for (int i = 1; i <= count; ++i) {
+      options.name = "t" + std::to_string(i);
+      options.seed = static_cast<uint64_t>(i);
+      ASSERT_EQ(group_.Add(options), "");
+    }
+  }
+
+  config::DeploymentPtr MakeDeployment() const {
+    auto out = std::make_shared<config::Deployment>();
+    out->lineage = "lab";
+    out->revision = 1;
+    out->domains = {{"a", "r"}};
+    config::Service service;
+    service.id = ServiceId{1};
+    service.name = "yardbook";
+    service.host = "yardbook.test";
+    config::RequestKind pulls;
+    pulls.name = "pulls";
+    pulls.method = "GET";
+    pulls.idempotent = true;
+    config::RequestKind quotes;
+    quotes.name = "quotes";
+    service.kinds = {pulls, quotes};
+    uint32_t id = 0;
+    for (const auto& it : group_.targets()) {
+      config::Target target;
+      target.id = TargetId{++id};
+      target.name = it->options().name;
+      target.domain = "a";
+      target.request_endpoint = it->local();
+      target.slots = it->options().slots;
+      service.targets.push_back(target);
+    }
+    out->services = {service};
+    return out;
+  }
+
+  // VMs that exchange messages through the io_context and share one table of
+  // key ranges.
+  void StartVms(int count) {
+    for (int i = 1; i <= count; ++i) {
+      const VmId self{static_cast<uint64_t>(i)};
+      net::RequestPathOptions options;
+      options.listen = Loopback(0);
+      options.self = self;
+      options.incarnation = 1;
+      options.seed = static_cast<uint64_t>(i);
+      options.record_ranges =
+          [this, i](const std::vector<request::KeyRangeRecord>& records) {
+            RecordRanges(i, records);
+          };
+      options.read_ranges = [this, i] {
+        paths_[i - 1]->PostRangesRecorded(true, Ranges());
+      };
+      paths_.push_back(std::make_unique<net::RequestPath>(
+          io_, options,
+          [this, self](VmId to, PeerChannel, std::string payload) {
+            const uint64_t index = ToInteger(to) - 1;
+            if (index < paths_.size()) {
+              paths_[index]->PostPeerMessage(self, std::move(payload));
+            }
+          },
+          [](const Decision&) {}));
+      ASSERT_EQ(paths_.back()->Open(), "");
+    }
+    PublishMembers(count, config::MemberState::kAlive);
+    io_.restart();
+    io_.run_for(std::chrono::milliseconds(500));
+  }
+
+  // Tells all VMs that VMs 1 to `count` are members, the last one in state
+  // `last`.
+  void PublishMembers(int count, config::MemberState last) {
+    for (size_t i = 1; i <= paths_.size(); ++i) {
+      auto view = std::make_shared<config::ControlView>();
+      view->number = ++views_;
+      view->self = VmId{i};
+      view->deployment = MakeDeployment();
+      for (int k = 1; k <= count; ++k) {
+        config::Member member;
+        member.id = VmId{static_cast<uint64_t>(k)};
+        member.name = "vm" + std::to_string(k);
+        member.domain = "a";
+        member.incarnation = 1;
+        member.revision = 1;
+        member.state = k == count ? last : config::MemberState::kAlive;
+        view->members.push_back(member);
+      }
+      paths_[i - 1]->PostView(view);
+    }
+  }
+
+  void RecordRanges(int vm,
+                    const std::vector<request::KeyRangeRecord>& records) {
+    bool ok = true;
+    for (const auto& it : records) {
+      const auto known = ranges_.find(it.range);
+      const uint64_t epoch = known == ranges_.end() ? 0 : known->second.epoch;
+      ok = ok && (epoch + 1 == it.epoch ||
+                  (known != ranges_.end() && known->second == it));
+    }
+    for (const auto& it : records) {
+      if (ok) {
+        ranges_[it.range] = it;
+      }
+    }
+    paths_[vm - 1]->PostRangesRecorded(ok, ok ? records : Ranges());
+  }
+
+  std::vector<request::KeyRangeRecord> Ranges() const {
+    std::vector<request::KeyRangeRecord> out;
+    for (const auto& [range, it] : ranges_) {
+      out.push_back(it);
+    }
+    return out;
+  }
+
+  // Callers of a mix of board pulls and quotes at `vms`.
+  LoadOptions Mix(std::vector<Endpoint> vms) const {
+    LoadOptions out;
+    out.vms = std::move(vms);
+    LoadKind pulls;
+    pulls.name = "pulls";
+    pulls.host = "yardbook.test";
+    pulls.service = "yardbook";
+    pulls.share = 0.7;
+    LoadKind quotes = pulls;
+    quotes.name = "quotes";
+    quotes.method = "POST";
+    quotes.keyed = true;
+    quotes.body_bytes = 300;
+    quotes.share = 0.3;
+    out.kinds = {pulls, quotes};
+    out.rate = 300;
+    out.run_time = std::chrono::seconds(1);
+    out.connections = 2;
+    return out;
+  }
+
+  std::vector<Endpoint> VmAddresses() const {
+    std::vector<Endpoint> out;
+    for (const auto& it : paths_) {
+      out.push_back(it->local());
+    }
+    return out;
+  }
+
+  LoadReport Load(const LoadOptions& options,
+                  const std::function<void()>& half_way = {}) {
+    LoadGenerator load(io_, options);
+    bool done = false;
+    load.Start([&] { done = true; });
+    bool disturbed = false;
+    for (int i = 0; i < 10'000 && !done; ++i) {
+      io_.restart();
+      io_.run_for(std::chrono::milliseconds(10));
+      if (half_way && !disturbed && group_.ledger().by_key.size() > 20) {
+        disturbed = true;
+        half_way();
+      }
+    }
+    EXPECT_TRUE(done);
+    LoadReport report = std::move(load.report());
+    report.executions = VerifyExecutions(io_, {group_.targets()[0]->local()},
+                                         load.not_run_ids());
+    return report;
+  }
+
+  static KindReport Sum(const LoadReport& report) {
+    KindReport out = report.kinds[0];
+    out.requests += report.kinds[1].requests;
+    out.answered += report.kinds[1].answered;
+    out.refused += report.kinds[1].refused;
+    out.lost += report.kinds[1].lost;
+    return out;
+  }
+
+  asio::io_context io_;
+  TargetGroup group_{io_};
+  std::vector<std::unique_ptr<net::RequestPath>> paths_;
+  std::map<uint32_t, request::KeyRangeRecord> ranges_;
+  uint64_t views_ = 0;
+};
+
+TEST(PatternBodyTest, DetectsForeignShiftedAndChangedBytes) {
+  const PatternBody body("a.1");
+  const std::string bytes = body.Bytes(5, 40);
+  EXPECT_TRUE(body.Matches(5, bytes));
+  EXPECT_FALSE(body.Matches(6, bytes));
+  EXPECT_FALSE(PatternBody("a.2").Matches(5, bytes));
+}
+
+TEST_F(HttpLabTest, CallersAndTargetsAgree) {
+  StandInOptions options;
+  options.service = "yardbook";
+  options.slots = 100;
+  options.median = std::chrono::milliseconds(1);
+  AddTargets(2, options);
+  const LoadReport report =
+      Load(Mix({group_.targets()[0]->local(), group_.targets()[1]->local()}));
+  const KindReport sum = Sum(report);
+  EXPECT_GT(sum.requests, 0u);
+  EXPECT_EQ(sum.answered, sum.requests);
+  EXPECT_EQ(report.executions.executed, sum.requests);
+  EXPECT_FALSE(report.Failed());
+  EXPECT_FALSE(nlohmann::json::parse(report.ToJson()).empty());
+}
+
+// The checks of the callers must see what they are there for.
+TEST_F(HttpLabTest, CallersDetectWrongService) {
+  StandInOptions options;
+  options.service = "sitepics";
+  options.slots = 100;
+  options.median = std::chrono::milliseconds(1);
+  AddTargets(1, options);
+  const LoadReport report = Load(Mix({group_.targets()[0]->local()}));
+  EXPECT_EQ(report.kinds[0].misrouted, report.kinds[0].requests);
+  EXPECT_TRUE(report.Failed());
+}
+
+TEST_F(HttpLabTest, SlotsQueueAndSheddingAreCounted) {
+  StandInOptions options;
+  options.service = "yardbook";
+  options.slots = 1;
+  options.queue = 1;
+  options.median = std::chrono::milliseconds(50);
+  AddTargets(1, options);
+  LoadOptions load = Mix({group_.targets()[0]->local()});
+  load.resubmits = 0;
+  const LoadReport report = Load(load);
+  const StandInCounts& counts = group_.targets()[0]->counts();
+  EXPECT_EQ(counts.peak_running, 1u);
+  EXPECT_GT(counts.shed, 0u);
+  EXPECT_EQ(counts.shed + counts.executed, Sum(report).requests);
+}
+
+TEST_F(HttpLabTest, ControlPathsAndReports) {
+  StandInOptions options;
+  AddTargets(2, options);
+  const Endpoint at = group_.targets()[0]->local();
+  const auto health = [&] {
+    return FetchBody(io_, at, "POST", "/lab/control?target=t1&health=bad", "");
+  };
+  EXPECT_EQ(health(), R"({"error":""})");
+  EXPECT_EQ(FetchBody(io_, at, "POST", "/lab/control?target=t9&drain=1", ""),
+            R"({"error":"no target \"t9\""})");
+  EXPECT_EQ(FetchBody(io_, at, "GET", "/load", ""),
+            R"({"running":0,"waiting":0,"slots":3})");
+  EXPECT_EQ(FetchBody(io_, at, "POST", "/lab/control?target=t2&kill=1", ""),
+            R"({"error":""})");
+  EXPECT_EQ(FetchBody(io_, group_.targets()[1]->local(), "GET", "/load", ""),
+            "");
+}
+
+// Two VMs, four targets, one of which is killed: nothing runs twice, no answer
+// is wrong, and what was refused as not run did not run.
+TEST_F(HttpLabTest, PromisesHoldThroughVmsWhenATargetIsKilled) {
+  StandInOptions options;
+  options.service = "yardbook";
+  options.median = std::chrono::milliseconds(4);
+  AddTargets(4, options);
+  StartVms(2);
+  const LoadReport report =
+      Load(Mix(VmAddresses()), [this] { group_.targets()[3]->Kill(); });
+  const KindReport sum = Sum(report);
+  EXPECT_FALSE(report.Failed()) << report.ToTable();
+  EXPECT_EQ(sum.answered + sum.refused + sum.lost, sum.requests);
+  EXPECT_GT(sum.answered, 0u);
+  EXPECT_TRUE(report.executions.complete);
+}
+
+// A VM that stops by plan cuts nothing: callers either are answered or hear a
+// refusal that is true, and none loses a request.
+TEST_F(HttpLabTest, PlannedStopOfAVmLosesNothing) {
+  StandInOptions options;
+  options.service = "yardbook";
+  options.median = std::chrono::milliseconds(4);
+  AddTargets(4, options);
+  StartVms(2);
+  bool stopped = false;
+  const LoadReport report = Load(Mix(VmAddresses()), [&] {
+    PublishMembers(2, config::MemberState::kLeaving);
+    paths_[1]->PostStop([&] {
+      stopped = true;
+      PublishMembers(1, config::MemberState::kAlive);
+    });
+  });
+  EXPECT_FALSE(report.Failed()) << report.ToTable();
+  EXPECT_EQ(Sum(report).lost, 0u) << report.ToTable();
+  EXPECT_EQ(Sum(report).refused, 0u) << report.ToTable();
+  for (const KindReport& it : report.kinds) {
+    EXPECT_EQ(it.ends.count("connection-loss"), 0u) << report.ToTable();
+    EXPECT_EQ(it.ends.count("answer-cut"), 0u) << report.ToTable();
+  }
+  for (int i = 0; i < 1000 && !stopped; ++i) {
+    io_.restart();
+    io_.run_for(std::chrono::milliseconds(10));
+  }
+  EXPECT_TRUE(stopped);
+}
+
+TEST(HttpCommandsTest, BadArgumentsAreRejected) {
+  const std::vector<std::string> foreign = {"--listen", "192.0.2.1:80"};
+  EXPECT_EQ(RunHttpTargets(foreign), 2);
+  const std::vector<std::string> no_kind = {"--vm", "127.0.0.1:1"};
+  EXPECT_EQ(RunHttpLoad(no_kind), 2);
+  const std::vector<std::string> field = {"--vm", "127.0.0.1:1", "--kind",
+                                          "colour=red"};
+  EXPECT_EQ(RunHttpLoad(field), 2);
+}
+
+}  // namespace
+}  // namespace marjoramhall::lab
