--- a/lab/main.cc
+++ b/lab/main.cc
@@ -7,6 +7,7 @@
 #include <string_view>
 #include <vector>
 
+#include "lab/http_commands.h"
 #include "lab/ports.h"
 #include "lab/store_commands.h"
 
@@ -23,6 +24,10 @@
       {"ports", "print N free loopback ports", marjoramhall::lab::RunPorts},
       {"store", "stand-in for the platform's store",
        marjoramhall::lab::RunStore},
+      {"http-targets", "run stand-in targets",
+       marjoramhall::lab::RunHttpTargets},
+      {"http-load", "send requests and check the answers",
+       marjoramhall::lab::RunHttpLoad},
   };
   return kCommands;
 }
