Add the intent service

Change: IntentService makes plans with effects, warnings and refusals, signs them with HMAC-SHA256 as self-contained documents, and confirms them through a propose hook. The plan id is the change id; a plan whose base the history no longer covers is refused, because an earlier acceptance could have been forgotten. Merging also refuses warnings about the configuration that the operator was not shown. A change without any effect is refused.

--- a/src/config/change.cc
+++ b/src/config/change.cc
@@ -155,15 +155,9 @@
   }
 
   void SetState(const std::string& name, TargetState state) {
-    Target* target = FindTarget(name);
-    if (target == nullptr) {
-      return;
-    }
-    if (target->state == state) {
-      Report("target \"" + name + "\" is already " +
-             std::string(NameOf(state)));
+    if (Target* target = FindTarget(name)) {
+      target->state = state;
     }
-    target->state = state;
   }
 
   ChangeResult result_;
@@ -238,6 +232,10 @@
     applier.Apply(operations[i]);
   }
   Deployment& next = applier.next();
+  if (applier.result().errors.empty() && next.services == base.services &&
+      next.domains == base.domains) {
+    applier.result().errors.push_back("the change has no effect");
+  }
   next.revision = base.revision + 1;
   UpdateReleased(base, &next);
   Record(next, info, Summary(operations));
--- a/src/config/change.h
+++ b/src/config/change.h
@@ -99,6 +99,8 @@
 // Applies operations in their order. The result has the next revision, allotted
 // ids, a history record, and all addresses that the change releases on the
 // released list; a released address that is assigned again leaves the list.
+// Draining a target that drains already is no error, but a change without any
+// effect is one.
 // Errors name the operation and also contain those of ValidateDeployment().
 // Whether a released address may be assigned again is checked by
 // CheckQuarantine() (quarantine.h).
--- a/src/config/json_reader.h
+++ b/src/config/json_reader.h
@@ -46,6 +46,8 @@
 
   bool Has(const char* key) const;
   void Require(const char* key);
+  // Marks a member as known that the caller reads by itself.
+  void Ignore(const char* key) { known_.insert(key); }
 
   void Read(const char* key, std::string* out);
   void Read(const char* key, bool* out);
--- /dev/null
+++ b/src/control/intent_service.cc
@@ -0,0 +1,320 @@
+// Plans and confirmations.
+#include "src/control/intent_service.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "src/control/intent_json.h"
+
+namespace marjoramhall::control {
+namespace {
+
+using config::Deployment;
+using config::Json;
+
+// Confirmations race by compare-and-swap; each lost race costs one attempt.
+constexpr int kMaxAttempts = 8;
+constexpr size_t kRecentPlans = 64;
+
+const config::ChangeRecord* FindChange(const Deployment& deployment,
+                                       const std::string& change_id) {
+  for (const config::ChangeRecord& it : deployment.history) {
+    if (it.change_id == change_id) {
+      return &it;
+    }
+  }
+  return nullptr;
+}
+
+IntentAnswer Accepted(const std::string& plan_id,
+                      Revision revision,
+                      bool merged) {
+  return MakeAnswer(
+      IntentOutcome::kOk, {},
+      {{"plan_id", plan_id}, {"revision", revision}, {"merged", merged}});
+}
+
+IntentAnswer NoConfiguration() {
+  return MakeAnswer(IntentOutcome::kUnavailable,
+                    {"no configuration is in force at this VM"});
+}
+
+}  // namespace
+
+IntentService::IntentService(IntentOptions options, IntentHooks hooks)
+    : options_(std::move(options)), hooks_(std::move(hooks)) {}
+
+config::DeploymentPtr IntentService::Current() const {
+  config::DeploymentPtr current = hooks_.current();
+  return current != nullptr && current->revision > 0 ? current : nullptr;
+}
+
+std::vector<config::KnownMember> IntentService::KnownMembers() const {
+  std::vector<config::KnownMember> known;
+  for (const IntentMember& it : hooks_.members()) {
+    known.push_back({it.name, it.revision});
+  }
+  return known;
+}
+
+IntentAnswer IntentService::CreatePlan(std::string_view body) {
+  std::string error;
+  const auto wish = ReadPlanRequest(body, &error);
+  if (!wish) {
+    return MakeAnswer(IntentOutcome::kBadRequest, {error});
+  }
+  const config::DeploymentPtr current = Current();
+  if (current == nullptr) {
+    return NoConfiguration();
+  }
+  IntentAnswer answer = AnswerPlan(*wish);
+  const Revision stated = wish->base_revision;
+  if (stated == 0 || stated == current->revision) {
+    return answer;
+  }
+  Json json;
+  if (answer.outcome == IntentOutcome::kOk) {
+    json["new_plan"] = Json::parse(answer.json);
+  }
+  return MakeAnswer(
+      IntentOutcome::kRefused,
+      {"the stated base revision is " + std::to_string(stated) +
+       " but revision " + std::to_string(current->revision) + " is in force"},
+      std::move(json));
+}
+
+// Makes a plan against the deployment in force.
+IntentAnswer IntentService::AnswerPlan(const PlanDocument& wish) {
+  const config::DeploymentPtr current = Current();
+  if (current == nullptr) {
+    return NoConfiguration();
+  }
+  PlanDocument document = wish;
+  document.lineage = current->lineage;
+  document.base_revision = current->revision;
+  document.expires_at = hooks_.unix_time() + options_.plan_lifetime;
+  document.nonce = hooks_.random();
+  document.marks = config::MarkObjects(*current, document.operations);
+  document.warnings.clear();
+  const Plan plan = MakePlan(*current, document.operations,
+                             {"plan", document.author, document.reason, 0},
+                             hooks_.load(), KnownMembers());
+  if (!plan.refusals.empty()) {
+    return MakeAnswer(IntentOutcome::kRefused, plan.refusals);
+  }
+  for (const Warning& it : plan.warnings) {
+    document.warnings.push_back(it.Code());
+  }
+  const SignedDocument signed_document = SignDocument(document, options_.key);
+  const std::string plan_id = signed_document.PlanId();
+  recent_[plan_id] = signed_document;
+  recent_order_.push_back(plan_id);
+  if (recent_order_.size() > kRecentPlans) {
+    recent_.erase(recent_order_.front());
+    recent_order_.erase(recent_order_.begin());
+  }
+  Log("planned", current->revision,
+      "plan " + plan_id + " by " + document.author);
+  return MakeAnswer(IntentOutcome::kOk, {},
+                    PlanToJson(plan, document, signed_document));
+}
+
+std::optional<SignedDocument> IntentService::FindDocument(
+    const std::string& plan_id,
+    std::string_view body,
+    std::string* error) const {
+  if (!body.empty()) {
+    return ReadDocument(body, error);
+  }
+  const auto it = recent_.find(plan_id);
+  if (it == recent_.end()) {
+    *error = "this VM does not have the plan; send its document";
+    return std::nullopt;
+  }
+  return it->second;
+}
+
+void IntentService::Confirm(const std::string& plan_id,
+                            std::string_view body,
+                            IntentDone done) {
+  const auto running = confirming_.find(plan_id);
+  std::string error;
+  const auto signed_document = FindDocument(plan_id, body, &error);
+  if (!signed_document) {
+    done(MakeAnswer(IntentOutcome::kBadRequest, {error}));
+    return;
+  }
+  auto document = VerifyDocument(*signed_document, options_.key);
+  if (!document || signed_document->PlanId() != plan_id) {
+    done(MakeAnswer(IntentOutcome::kBadRequest,
+                    {"the document is not a plan of this deployment with id " +
+                     plan_id.substr(0, 64)}));
+    return;
+  }
+  if (running != confirming_.end()) {
+    running->second->waiting.push_back(std::move(done));
+    return;
+  }
+  auto it = std::make_shared<Confirmation>();
+  it->plan_id = plan_id;
+  it->document = std::move(*document);
+  it->waiting.push_back(std::move(done));
+  confirming_[plan_id] = it;
+  Attempt(it);
+}
+
+void IntentService::Attempt(const ConfirmationPtr& it) {
+  const config::DeploymentPtr current = Current();
+  if (current == nullptr) {
+    Finish(it, NoConfiguration());
+    return;
+  }
+  if (const auto* record = FindChange(*current, it->plan_id)) {
+    Finish(it, Accepted(it->plan_id, record->revision, it->merged));
+    return;
+  }
+  Deployment next;
+  std::vector<std::string> reasons = Check(*it, *current, &next);
+  if (!reasons.empty()) {
+    Refuse(it, std::move(reasons));
+    return;
+  }
+  ++it->attempts;
+  it->merged = current->revision != it->document.base_revision;
+  hooks_.propose(next, it->plan_id,
+                 [this, it, alive = std::weak_ptr<bool>(alive_)](
+                     const ProposeResult& result) {
+                   if (!alive.expired()) {
+                     OnProposed(it, result);
+                   }
+                 });
+}
+
+std::vector<std::string> IntentService::Check(const Confirmation& it,
+                                              const Deployment& current,
+                                              Deployment* next) const {
+  const PlanDocument& document = it.document;
+  if (document.lineage != current.lineage) {
+    return {"the plan is of another lineage"};
+  }
+  const int64_t now = hooks_.unix_time();
+  if (now > document.expires_at) {
+    return {"the plan has expired"};
+  }
+  if (!config::HistoryCovers(current, document.base_revision)) {
+    return {"the history no longer reaches back to the plan's base revision " +
+            std::to_string(document.base_revision) +
+            ", so that an earlier confirmation of it cannot be excluded"};
+  }
+  std::vector<std::string> reasons;
+  for (const std::string& object :
+       config::FindConflicts(current, document.marks)) {
+    reasons.push_back(object + " was changed since revision " +
+                      std::to_string(document.base_revision));
+  }
+  if (!reasons.empty()) {
+    return reasons;
+  }
+  Plan plan = MakePlan(current, document.operations,
+                       {it.plan_id, document.author, document.reason, now},
+                       hooks_.load(), KnownMembers());
+  for (const Warning& warning : plan.warnings) {
+    const auto& shown = document.warnings;
+    if (warning.IsStructural() &&
+        std::find(shown.begin(), shown.end(), warning.Code()) == shown.end()) {
+      plan.refusals.push_back("the plan was made without this warning: " +
+                              warning.text);
+    }
+  }
+  *next = std::move(plan.next);
+  return std::move(plan.refusals);
+}
+
+void IntentService::OnProposed(const ConfirmationPtr& it,
+                               const ProposeResult& result) {
+  switch (result.outcome) {
+    case ProposeOutcome::kAccepted:
+      Finish(it, Accepted(it->plan_id, result.revision, it->merged));
+      return;
+    case ProposeOutcome::kConflict:
+      if (it->attempts < kMaxAttempts) {
+        Attempt(it);
+      } else {
+        Refuse(it, {"other changes kept coming first; nothing was written"});
+      }
+      return;
+    case ProposeOutcome::kInvalid:
+      Refuse(it, {result.reason});
+      return;
+    case ProposeOutcome::kUnavailable:
+      Finish(it, MakeAnswer(IntentOutcome::kUnavailable,
+                            {"nothing was written: " + result.reason}));
+      return;
+    case ProposeOutcome::kUnknown:
+      Finish(it, MakeAnswer(
+                     IntentOutcome::kUnknown,
+                     {"the change may have been accepted: " + result.reason +
+                      "; confirm the same plan again to learn the outcome"}));
+      return;
+  }
+}
+
+// Answers with the reasons and, when the operations can still be applied, with
+// a new plan for them.
+void IntentService::Refuse(const ConfirmationPtr& it,
+                           std::vector<std::string> reasons) {
+  const IntentAnswer plan = AnswerPlan(it->document);
+  Json json = {{"plan_id", it->plan_id}};
+  const Json answer = Json::parse(plan.json);
+  if (plan.outcome == IntentOutcome::kOk) {
+    json["new_plan"] = answer;
+  } else {
+    for (const Json& reason : answer.at("reasons")) {
+      reasons.push_back("no new plan: " + reason.get<std::string>());
+    }
+  }
+  Finish(it, MakeAnswer(IntentOutcome::kRefused, reasons, std::move(json)));
+}
+
+void IntentService::Finish(const ConfirmationPtr& it,
+                           const IntentAnswer& answer) {
+  confirming_.erase(it->plan_id);
+  const config::DeploymentPtr current = Current();
+  Log(NameOf(answer.outcome), current == nullptr ? 0 : current->revision,
+      "confirm plan " + it->plan_id + " by " + it->document.author);
+  for (const IntentDone& done : std::exchange(it->waiting, {})) {
+    done(answer);
+  }
+}
+
+IntentAnswer IntentService::Status() const {
+  const config::DeploymentPtr current = Current();
+  const Deployment none;
+  Json json = StatusToJson(current == nullptr ? none : *current,
+                           hooks_.members(), hooks_.load());
+  json["vm"] = options_.vm;
+  return MakeAnswer(IntentOutcome::kOk, {}, std::move(json));
+}
+
+IntentAnswer IntentService::History() const {
+  const config::DeploymentPtr current = Current();
+  if (current == nullptr) {
+    return NoConfiguration();
+  }
+  return MakeAnswer(IntentOutcome::kOk, {}, HistoryToJson(*current));
+}
+
+void IntentService::Log(std::string_view outcome,
+                        Revision revision,
+                        const std::string& detail) const {
+  if (hooks_.decide) {
+    Decision decision;
+    decision.kind = DecisionKind::kConfiguration;
+    decision.outcome = outcome;
+    decision.revision = revision;
+    decision.detail = detail;
+    hooks_.decide(decision);
+  }
+}
+
+}  // namespace marjoramhall::control
