Add the operators' HTTP server

Bearer tokens are compared by digest in constant time, TLS 1.2 or later is spoken when a certificate is set, bodies are limited, and POST needs the JSON content type. Files include the library through http_library.h, because its class layout depends on a macro. SO_REUSEPORT is not used.

--- /dev/null
+++ b/src/net/intent_server.cc
@@ -0,0 +1,274 @@
+// The operators' HTTP server on cpp-httplib.
+#include "src/net/intent_server.h"
+
+#include <openssl/crypto.h>
+#include <openssl/evp.h>
+
+#include <array>
+#include <asio/post.hpp>
+#include <atomic>
+#include <future>
+#include <mutex>
+#include <nlohmann/json.hpp>
+#include <thread>
+#include <utility>
+
+#include "src/net/http_library.h"
+
+namespace marjoramhall::net {
+namespace {
+
+using control::IntentAnswer;
+using control::IntentDone;
+using control::IntentOutcome;
+
+constexpr char kJson[] = "application/json";
+constexpr size_t kThreads = 8;
+// Operators' requests are small; a peer that is slower is dropped.
+constexpr std::chrono::seconds kSocketTimeout(5);
+constexpr size_t kRequestsPerConnection = 100;
+
+int HttpStatus(IntentOutcome outcome) {
+  switch (outcome) {
+    case IntentOutcome::kOk:
+      return 200;
+    case IntentOutcome::kBadRequest:
+      return 400;
+    case IntentOutcome::kRefused:
+      return 409;
+    case IntentOutcome::kUnavailable:
+      return 503;
+    case IntentOutcome::kUnknown:
+      return 504;
+  }
+  return 500;
+}
+
+std::string ErrorJson(std::string_view outcome, std::string_view reason) {
+  return nlohmann::json{{"outcome", outcome}, {"reasons", {reason}}}.dump();
+}
+
+// For answers that the library makes by itself.
+std::string_view ReasonOf(int status) {
+  switch (status) {
+    case 404:
+      return "no such path";
+    case 413:
+      return "the body is too large";
+    default:
+      return "malformed request";
+  }
+}
+
+using Digest = std::array<unsigned char, 32>;
+
+Digest Sha256(std::string_view text) {
+  Digest digest{};
+  EVP_Digest(text.data(), text.size(), digest.data(), nullptr, EVP_sha256(),
+             nullptr);
+  return digest;
+}
+
+// Compares digests, so that the time tells nothing of the token or its length.
+bool IsAuthorized(const httplib::Request& request,
+                  const settings::Secret& token) {
+  const std::string expected = "Bearer " + token.Reveal();
+  const Digest a = Sha256(request.get_header_value("Authorization"));
+  const Digest b = Sha256(expected);
+  return CRYPTO_memcmp(a.data(), b.data(), a.size()) == 0;
+}
+
+// SO_REUSEPORT, the library's default, would let two processes share the port.
+void SetSocketOptions(socket_t socket) {
+  const int yes = 1;
+  setsockopt(socket, SOL_SOCKET, SO_REUSEADDR, &yes, sizeof(yes));
+}
+
+}  // namespace
+
+struct IntentServer::Impl {
+  Impl(asio::io_context& io,
+       IntentServerOptions given,
+       control::IntentService& intent)
+      : control(io), options(std::move(given)), service(intent) {}
+
+  // Runs a call on the control thread and sends its answer.
+  void Answer(httplib::Response& response,
+              std::function<void(IntentDone)> call) {
+    auto promise = std::make_shared<std::promise<IntentAnswer>>();
+    std::future<IntentAnswer> future = promise->get_future();
+    asio::post(control, [promise, call = std::move(call)] {
+      call([promise](const IntentAnswer& it) { promise->set_value(it); });
+    });
+    const auto deadline = SteadyNow() + options.answer_timeout;
+    while (future.wait_for(std::chrono::milliseconds(20)) !=
+           std::future_status::ready) {
+      if (stopping || SteadyNow() >= deadline) {
+        response.status = 504;
+        response.set_content(
+            ErrorJson("unknown",
+                      "no answer of the control thread in time; the request "
+                      "may take effect"),
+            kJson);
+        return;
+      }
+    }
+    const IntentAnswer answer = future.get();
+    response.status = HttpStatus(answer.outcome);
+    response.set_content(answer.json, kJson);
+  }
+
+  void Configure() {
+    server->new_task_queue = [] { return new httplib::ThreadPool(kThreads); };
+    server->set_socket_options(SetSocketOptions);
+    server->set_payload_max_length(options.largest_body);
+    server->set_read_timeout(kSocketTimeout);
+    server->set_write_timeout(kSocketTimeout);
+    server->set_keep_alive_timeout(kSocketTimeout.count());
+    server->set_keep_alive_max_count(kRequestsPerConnection);
+    server->set_pre_routing_handler(
+        [this](const httplib::Request& request, httplib::Response& response) {
+          return Screen(request, response);
+        });
+    server->set_error_handler(
+        [](const httplib::Request&, httplib::Response& response) {
+          if (response.body.empty()) {
+            response.set_content(
+                ErrorJson("bad-request", ReasonOf(response.status)), kJson);
+          }
+        });
+    server->set_exception_handler([](const httplib::Request&,
+                                     httplib::Response& response,
+                                     const std::exception_ptr&) {
+      response.status = 500;
+      response.set_content(ErrorJson("unknown", "internal error"), kJson);
+    });
+  }
+
+  httplib::Server::HandlerResponse Screen(const httplib::Request& request,
+                                          httplib::Response& response) {
+    using enum httplib::Server::HandlerResponse;
+    if (!options.token.empty() && !IsAuthorized(request, options.token)) {
+      response.status = 401;
+      response.set_header("WWW-Authenticate", "Bearer");
+      response.set_content(ErrorJson("bad-request", "a valid token is needed"),
+                           kJson);
+      return Handled;
+    }
+    // Web pages cannot send this type to another origin unasked, which keeps
+    // them from using a loopback API without a token.
+    if (request.method == "POST" &&
+        !request.get_header_value("Content-Type").starts_with(kJson)) {
+      response.status = 415;
+      response.set_content(
+          ErrorJson("bad-request", "content-type must be application/json"),
+          kJson);
+      return Handled;
+    }
+    return Unhandled;
+  }
+
+  // Calls may run after this object has gone, so they hold the service only.
+  void Route() {
+    using httplib::Request;
+    using httplib::Response;
+    auto* intent = &service;
+    server->Post(
+        "/v1/plans", [this, intent](const Request& request, Response& out) {
+          Answer(out, [intent, body = request.body](const IntentDone& done) {
+            done(intent->CreatePlan(body));
+          });
+        });
+    server->Post(R"(/v1/plans/([0-9a-f]{32})/confirm)",
+                 [this, intent](const Request& request, Response& out) {
+                   Answer(out, [intent, id = request.matches[1].str(),
+                                body = request.body](IntentDone done) {
+                     intent->Confirm(id, body, std::move(done));
+                   });
+                 });
+    server->Get("/v1/status", [this, intent](const Request&, Response& out) {
+      Answer(out, [intent](const IntentDone& done) { done(intent->Status()); });
+    });
+    server->Get("/v1/history", [this, intent](const Request&, Response& out) {
+      Answer(out,
+             [intent](const IntentDone& done) { done(intent->History()); });
+    });
+    server->Get("/metrics", [this](const Request&, Response& out) {
+      const std::lock_guard lock(metrics_mutex);
+      out.set_content(options.metrics ? options.metrics() : "",
+                      "text/plain; version=0.0.4");
+    });
+  }
+
+  // Returns an error or "".
+  std::string Create() {
+    if (options.tls_certificate.empty()) {
+      server = std::make_unique<httplib::Server>();
+      return "";
+    }
+    auto tls = std::make_unique<httplib::SSLServer>(
+        options.tls_certificate.c_str(), options.tls_key.c_str());
+    if (!tls->is_valid()) {
+      return "cannot use TLS certificate " + options.tls_certificate.string() +
+             " with key " + options.tls_key.string();
+    }
+    SSL_CTX_set_min_proto_version(tls->ssl_context(), TLS1_2_VERSION);
+    server = std::move(tls);
+    return "";
+  }
+
+  asio::io_context& control;
+  const IntentServerOptions options;
+  control::IntentService& service;
+  std::unique_ptr<httplib::Server> server;
+  std::thread thread;
+  std::mutex metrics_mutex;
+  std::atomic<bool> stopping{false};
+  uint16_t port = 0;
+};
+
+IntentServer::IntentServer(asio::io_context& control,
+                           IntentServerOptions options,
+                           control::IntentService& service)
+    : impl_(std::make_unique<Impl>(control, std::move(options), service)) {}
+
+IntentServer::~IntentServer() {
+  impl_->stopping = true;
+  if (impl_->thread.joinable()) {
+    impl_->server->stop();
+    impl_->thread.join();
+  }
+}
+
+std::string IntentServer::Open() {
+  if (std::string error = impl_->Create(); !error.empty()) {
+    return error;
+  }
+  impl_->Configure();
+  impl_->Route();
+  const Endpoint& listen = impl_->options.listen;
+  const std::string host = listen.address.ToString();
+  int port = listen.port;
+  if (port == 0) {
+    port = impl_->server->bind_to_any_port(host);
+  } else if (!impl_->server->bind_to_port(host, port)) {
+    port = -1;
+  }
+  if (port <= 0) {
+    return "cannot listen for operators on " + listen.ToString();
+  }
+  impl_->port = static_cast<uint16_t>(port);
+  impl_->thread = std::thread([this] { impl_->server->listen_after_bind(); });
+  // stop() has no effect before the server runs, so wait until it does.
+  const auto deadline = SteadyNow() + std::chrono::seconds(5);
+  while (!impl_->server->is_running() && SteadyNow() < deadline) {
+    std::this_thread::yield();
+  }
+  return "";
+}
+
+Endpoint IntentServer::LocalEndpoint() const {
+  return {impl_->options.listen.address, impl_->port};
+}
+
+}  // namespace marjoramhall::net
--- /dev/null
+++ b/tests/net/intent_server_test.cc
@@ -0,0 +1,181 @@
+// Guards against an operators' API that answers without a token, accepts
+// oversized or foreign input, or hangs while the control thread is stuck.
+#include "src/net/intent_server.h"
+
+#include <gtest/gtest.h>
+#include <openssl/pem.h>
+#include <openssl/x509.h>
+
+#include <asio/executor_work_guard.hpp>
+#include <asio/post.hpp>
+#include <cstdio>
+#include <thread>
+
+#include "src/net/http_library.h"
+#include "tests/control/intent_world.h"
+
+namespace marjoramhall::net {
+namespace {
+
+constexpr char kToken[] = "a token of 16 bytes or more";
+constexpr char kJson[] = "application/json";
+
+// An intent service on a control thread behind a server on a loopback port.
+class IntentServerTest : public testing::Test {
+ protected:
+  ~IntentServerTest() override { Stop(); }
+
+  void Start(IntentServerOptions options) {
+    options.listen = settings::Loopback(0);
+    options.metrics = [] { return "up 1\n"; };
+    server_ = std::make_unique<IntentServer>(io_, options, world_.vm(0));
+    ASSERT_EQ(server_->Open(), "");
+    thread_ = std::thread([this] { io_.run(); });
+  }
+
+  void Stop() {
+    server_.reset();
+    io_.stop();
+    if (thread_.joinable()) {
+      thread_.join();
+    }
+  }
+
+  // Lets the store answer the next proposal, on the control thread.
+  void RunNextProposal() {
+    if (world_.proposals.empty()) {
+      asio::post(io_, [this] { RunNextProposal(); });
+    } else {
+      world_.RunProposal();
+    }
+  }
+
+  httplib::Client ClientWith(const std::string& token) {
+    httplib::Client client("127.0.0.1", server_->LocalEndpoint().port);
+    if (!token.empty()) {
+      client.set_bearer_token_auth(token);
+    }
+    return client;
+  }
+
+  control::IntentWorld world_{1};
+  asio::io_context io_;
+  asio::executor_work_guard<asio::io_context::executor_type> work_{
+      io_.get_executor()};
+  std::unique_ptr<IntentServer> server_;
+  std::thread thread_;
+};
+
+TEST_F(IntentServerTest, EveryPathNeedsTheToken) {
+  IntentServerOptions options;
+  options.token = settings::Secret(kToken);
+  Start(options);
+  for (const std::string token : {"", "wrong", "a token of 16 bytes or morf"}) {
+    auto client = ClientWith(token);
+    for (const char* path : {"/v1/status", "/v1/history", "/metrics", "/x"}) {
+      EXPECT_EQ(client.Get(path)->status, 401) << path;
+    }
+    EXPECT_EQ(client.Post("/v1/plans", "{}", kJson)->status, 401);
+  }
+  auto client = ClientWith(kToken);
+  EXPECT_EQ(client.Get("/v1/status")->status, 200);
+  EXPECT_EQ(client.Get("/metrics")->body, "up 1\n");
+  EXPECT_EQ(client.Get("/x")->status, 404);
+}
+
+TEST_F(IntentServerTest, PlansAndConfirmsOverHttp) {
+  Start({});
+  auto client = ClientWith("");
+  const auto body = control::PlanBody("ana", control::Drain("long-0"));
+  const auto plan = client.Post("/v1/plans", body, kJson);
+  ASSERT_EQ(plan->status, 200);
+  asio::post(io_, [this] { RunNextProposal(); });
+  const std::string id = control::TestJson::parse(plan->body)["plan_id"];
+  const auto confirmed =
+      client.Post("/v1/plans/" + id + "/confirm", plan->body, kJson);
+  EXPECT_EQ(confirmed->status, 200) << confirmed->body;
+  EXPECT_EQ(control::TestJson::parse(confirmed->body)["revision"], 2);
+  EXPECT_EQ(client.Get("/v1/history")->status, 200);
+}
+
+TEST_F(IntentServerTest, MalformedAndOversizedInputIsRefused) {
+  IntentServerOptions options;
+  options.largest_body = 2000;
+  Start(options);
+  auto client = ClientWith("");
+  EXPECT_EQ(client.Post("/v1/plans", "{", kJson)->status, 400);
+  EXPECT_EQ(client.Post("/v1/plans", "{}", "text/plain")->status, 415);
+  const std::string large(3000, ' ');
+  EXPECT_EQ(client.Post("/v1/plans", large, kJson)->status, 413);
+  EXPECT_EQ(client.Post("/v1/plans/zz/confirm", "{}", kJson)->status, 404);
+  const std::string unknown = "/v1/plans/" + std::string(32, 'a') + "/confirm";
+  EXPECT_EQ(client.Post(unknown, "", kJson)->status, 400);
+  const auto refused = client.Post(
+      "/v1/plans", control::PlanBody("a", control::Drain("none")), kJson);
+  EXPECT_EQ(refused->status, 409);
+}
+
+TEST_F(IntentServerTest, StuckControlThreadIsReportedAsUnknown) {
+  IntentServerOptions options;
+  options.answer_timeout = std::chrono::milliseconds(50);
+  Start(options);
+  io_.stop();
+  thread_.join();
+  auto client = ClientWith("");
+  const auto answer = client.Get("/v1/status");
+  EXPECT_EQ(answer->status, 504);
+  EXPECT_EQ(client.Get("/metrics")->status, 200);
+  // The late call must not touch the server.
+  server_.reset();
+  io_.restart();
+  EXPECT_EQ(io_.poll(), 1U);
+}
+
+TEST_F(IntentServerTest, UsedPortIsNamed) {
+  Start({});
+  IntentServerOptions options;
+  options.listen = server_->LocalEndpoint();
+  IntentServer second(io_, options, world_.vm(0));
+  EXPECT_EQ(second.Open(),
+            "cannot listen for operators on " + options.listen.ToString());
+}
+
+// Writes a self-signed certificate and its key.
+void WriteCertificate(const std::string& certificate, const std::string& key) {
+  EVP_PKEY* pair = EVP_RSA_gen(2048);
+  X509* x509 = X509_new();
+  ASN1_INTEGER_set(X509_get_serialNumber(x509), 1);
+  X509_gmtime_adj(X509_getm_notBefore(x509), 0);
+  X509_gmtime_adj(X509_getm_notAfter(x509), 3600);
+  X509_set_pubkey(x509, pair);
+  X509_sign(x509, pair, EVP_sha256());
+  std::FILE* out = std::fopen(certificate.c_str(), "w");
+  PEM_write_X509(out, x509);
+  std::fclose(out);
+  out = std::fopen(key.c_str(), "w");
+  PEM_write_PrivateKey(out, pair, nullptr, nullptr, 0, nullptr, nullptr);
+  std::fclose(out);
+  X509_free(x509);
+  EVP_PKEY_free(pair);
+}
+
+TEST_F(IntentServerTest, SpeaksTlsWithACertificateAndNothingElse) {
+  IntentServerOptions options;
+  options.tls_certificate = testing::TempDir() + "intent_server_test.pem";
+  options.tls_key = testing::TempDir() + "intent_server_test.key";
+  WriteCertificate(options.tls_certificate, options.tls_key);
+  Start(options);
+  httplib::SSLClient client("127.0.0.1", server_->LocalEndpoint().port);
+  client.enable_server_certificate_verification(false);
+  const auto answer = client.Get("/v1/status");
+  ASSERT_TRUE(answer);
+  EXPECT_EQ(answer->status, 200);
+  EXPECT_FALSE(ClientWith("").Get("/v1/status"));
+  std::remove(options.tls_key.c_str());
+  IntentServer keyless(io_, options, world_.vm(0));
+  EXPECT_NE(keyless.Open().find("intent_server_test.key"), std::string::npos);
+  std::remove(options.tls_certificate.c_str());
+}
+
+}  // namespace
+}  // namespace marjoramhall::net
