--- /dev/null
+++ b/src/app/vm_process.cc
@@ -0,0 +1,406 @@
+// Composition of a VM's planes and their threads.
+//
+// The calling thread runs the control plane; one thread each runs the flow
+// plane and the request plane. Planes exchange only immutable views and
+// messages, each posted to the other thread's io_context.
+#include "src/app/vm_process.h"
+
+#include <asio/executor_work_guard.hpp>
+#include <asio/io_context.hpp>
+#include <asio/post.hpp>
+#include <asio/signal_set.hpp>
+#include <asio/steady_timer.hpp>
+#include <chrono>
+#include <csignal>
+#include <random>
+#include <thread>
+#include <utility>
+
+#include "src/app/bootstrap.h"
+#include "src/config/deployment_json.h"
+#include "src/net/control_node.h"
+#include "src/net/flow_path.h"
+#include "src/net/http_store_client.h"
+#include "src/net/key_range_store.h"
+#include "src/net/local_store.h"
+#include "src/net/request_path.h"
+#include "src/observe/decision_log.h"
+
+namespace marjoramhall::app {
+namespace {
+
+constexpr auto kLogInterval = std::chrono::seconds(1);
+// A leaving VM goes on forwarding packets until the fabric has sent it none for
+// this long, since the platform's list of VMs lags.
+constexpr auto kFabricQuiet = std::chrono::milliseconds(1000);
+// Peers are asked for the deployment first.
+constexpr Duration kBootstrapDelay = std::chrono::seconds(3);
+constexpr Duration kBootstrapInterval = std::chrono::seconds(1);
+
+Incarnation StartIncarnation() {
+  const auto now = std::chrono::system_clock::now().time_since_epoch();
+  return static_cast<Incarnation>(
+      std::chrono::duration_cast<std::chrono::microseconds>(now).count());
+}
+
+int64_t UnixTime() {
+  return std::chrono::system_clock::to_time_t(std::chrono::system_clock::now());
+}
+
+uint64_t RandomSeed() {
+  std::random_device device;
+  return (uint64_t{device()} << 32) | device();
+}
+
+// "http://127.0.0.1:7000" as an endpoint.
+std::optional<Endpoint> StoreEndpoint(std::string_view url) {
+  constexpr std::string_view kScheme = "http://";
+  if (!url.starts_with(kScheme)) {
+    return std::nullopt;
+  }
+  url.remove_prefix(kScheme.size());
+  if (url.ends_with('/')) {
+    url.remove_suffix(1);
+  }
+  return Endpoint::Parse(url);
+}
+
+observe::DecisionLogOptions LogOptions(const settings::Settings& settings) {
+  observe::DecisionLogOptions options;
+  options.vm = settings.vm.name;
+  options.path = settings.log.path;
+  options.level = settings.log.level;
+  options.decisions = settings.log.decisions;
+  return options;
+}
+
+net::FlowPathOptions FlowOptions(const settings::Settings& settings,
+                                 Incarnation incarnation) {
+  net::FlowPathOptions options;
+  options.self = config::VmIdOf(settings.vm.name);
+  options.incarnation = incarnation;
+  options.fabric_endpoint = settings.flow.listen;
+  options.hop_endpoint = settings.flow.hop_listen;
+  options.flow.table_limit = settings.flow.max_flows;
+  options.flow.idle_timeout = settings.flow.idle_timeout;
+  options.flow.shared_key = settings.control.key.Reveal();
+  options.seed = RandomSeed();
+  return options;
+}
+
+net::RequestPathOptions RequestOptions(const settings::Settings& settings,
+                                       Incarnation incarnation) {
+  net::RequestPathOptions options;
+  options.listen = settings.request.listen;
+  options.self = config::VmIdOf(settings.vm.name);
+  options.incarnation = incarnation;
+  options.seed = RandomSeed();
+  options.core.max_queue = settings.limits.queued_requests;
+  options.core.max_keys = settings.limits.idempotency_keys;
+  options.core.max_answer_bytes = settings.limits.idempotency_answers;
+  options.stop_deadline = settings.limits.stop_deadline;
+  return options;
+}
+
+}  // namespace
+
+struct VmProcess::Impl {
+  explicit Impl(const settings::Settings& chosen);
+  ~Impl();
+
+  std::string Open();
+  int Run();
+
+ private:
+  using WorkGuard = asio::executor_work_guard<asio::io_context::executor_type>;
+
+  net::ControlNodeOptions ControlOptions() const;
+  control::StoreClient MakeStore();
+  void OnPeerMessage(VmId from, PeerChannel channel, std::string payload);
+  void WaitForSignal();
+  void OnSignal();
+  void BeginStop();
+  void OnPlaneStopped();
+  void StopFlowPathWhenQuiet(uint64_t packets_before);
+  void OnStopDeadline();
+  void Finish(int exit_code);
+  void MaintainLog();
+  void TryBootstrap(Duration delay);
+
+  const settings::Settings settings_;
+  const Incarnation incarnation_ = StartIncarnation();
+  observe::DecisionLog log_;
+
+  asio::io_context control_io_;
+  asio::io_context flow_io_;
+  asio::io_context request_io_;
+  WorkGuard flow_work_;
+  WorkGuard request_work_;
+  asio::signal_set signals_;
+  asio::steady_timer log_timer_;
+  asio::steady_timer stop_timer_;
+  asio::steady_timer quiet_timer_;
+  asio::steady_timer bootstrap_timer_;
+
+  std::unique_ptr<net::LocalStore> local_store_;
+  std::unique_ptr<net::HttpStoreClient> http_store_;
+  control::StoreClient store_;
+  std::unique_ptr<net::KeyRangeStore> key_ranges_;
+  std::unique_ptr<net::FlowPath> flow_;
+  std::unique_ptr<net::RequestPath> request_;
+  std::unique_ptr<net::ControlNode> control_;
+
+  // Set before the traffic threads start, then read-only.
+  SendToPeer sender_;
+  std::thread flow_thread_;
+  std::thread request_thread_;
+
+  // Revision 0: the settings name no deployment file.
+  config::Deployment initial_;
+
+  // Control thread only.
+  std::unique_ptr<Bootstrap> bootstrap_;
+  bool stopping_ = false;
+  int planes_running_ = 2;
+  int exit_code_ = 0;
+};
+
+VmProcess::Impl::Impl(const settings::Settings& chosen)
+    : settings_(chosen),
+      log_(LogOptions(chosen)),
+      flow_work_(asio::make_work_guard(flow_io_)),
+      request_work_(asio::make_work_guard(request_io_)),
+      signals_(control_io_, SIGTERM, SIGINT),
+      log_timer_(control_io_),
+      stop_timer_(control_io_),
+      quiet_timer_(control_io_),
+      bootstrap_timer_(control_io_),
+      store_(MakeStore()),
+      key_ranges_(std::make_unique<net::KeyRangeStore>(store_, "key-ranges")) {
+  const SendToPeer send = [this](VmId peer, PeerChannel channel,
+                                 std::string payload) {
+    sender_(peer, channel, std::move(payload));
+  };
+  flow_ = std::make_unique<net::FlowPath>(
+      flow_io_, FlowOptions(settings_, incarnation_), send, log_.Hook());
+  auto request_options = RequestOptions(settings_, incarnation_);
+  const auto answer = [this](bool ok,
+                             std::vector<request::KeyRangeRecord> records) {
+    request_->PostRangesRecorded(ok, std::move(records));
+  };
+  request_options.record_ranges =
+      [this, answer](std::vector<request::KeyRangeRecord> records) {
+        asio::post(control_io_, [this, answer, records = std::move(records)] {
+          key_ranges_->Record(records, answer);
+        });
+      };
+  request_options.read_ranges = [this, answer] {
+    asio::post(control_io_, [this, answer] { key_ranges_->Read(answer); });
+  };
+  request_ = std::make_unique<net::RequestPath>(
+      request_io_, std::move(request_options), send, log_.Hook());
+}
+
+VmProcess::Impl::~Impl() {
+  flow_io_.stop();
+  request_io_.stop();
+  if (flow_thread_.joinable()) {
+    flow_thread_.join();
+  }
+  if (request_thread_.joinable()) {
+    request_thread_.join();
+  }
+}
+
+control::StoreClient VmProcess::Impl::MakeStore() {
+  if (!StoreEndpoint(settings_.store.url)) {
+    local_store_ = std::make_unique<net::LocalStore>(control_io_);
+    return local_store_->Client();
+  }
+  net::HttpStoreOptions options;
+  options.endpoint = *StoreEndpoint(settings_.store.url);
+  http_store_ = std::make_unique<net::HttpStoreClient>(control_io_, options);
+  return http_store_->Client();
+}
+
+net::ControlNodeOptions VmProcess::Impl::ControlOptions() const {
+  net::ControlNodeOptions options;
+  options.self.name = settings_.vm.name;
+  options.self.id = config::VmIdOf(settings_.vm.name);
+  options.self.domain = settings_.vm.failure_domain;
+  options.self.incarnation = incarnation_;
+  options.self.control_endpoint = settings_.control.listen;
+  options.self.hop_endpoint = flow_->HopEndpoint();
+  options.self.request_endpoint = request_->local();
+  options.transport.listen = settings_.control.listen;
+  options.transport.deployment = "default";
+  options.transport.key = settings_.control.key.Reveal();
+  options.transport.bytes_per_second = settings_.limits.control_rate;
+  options.transport.burst_bytes = settings_.limits.control_rate;
+  options.seeds = settings_.control.seeds;
+  return options;
+}
+
+std::string VmProcess::Impl::Open() {
+  if (!settings_.store.url.empty() && !StoreEndpoint(settings_.store.url)) {
+    return "store url " + settings_.store.url +
+           ": expected http:// with an IP address and port";
+  }
+  std::string error;
+  if (!settings_.control.deployment.empty()) {
+    initial_ = ReadInitialDeployment(settings_.control.deployment.string(),
+                                     UnixTime(), RandomSeed(), &error);
+    if (!error.empty()) {
+      return error;
+    }
+  }
+  for (const auto& open :
+       {std::function<std::string()>([this] { return log_.Open(); }),
+        std::function<std::string()>([this] { return flow_->Open(); }),
+        std::function<std::string()>([this] { return request_->Open(); })}) {
+    error = open();
+    if (!error.empty()) {
+      return error;
+    }
+  }
+  control_ = std::make_unique<net::ControlNode>(
+      control_io_, ControlOptions(), store_,
+      control::DeploymentCodec{config::ToJson, config::FromJson},
+      [this](const config::ControlViewPtr& view) {
+        flow_->PostView(view);
+        request_->PostView(view);
+      },
+      [this](VmId from, PeerChannel channel, std::string payload) {
+        OnPeerMessage(from, channel, std::move(payload));
+      },
+      log_.Hook());
+  sender_ = control_->Sender();
+  bootstrap_ = std::make_unique<Bootstrap>(
+      initial_,
+      [this] { return control_->CurrentView()->deployment->revision; },
+      [this](const config::Deployment& next, const std::string& change_id,
+             control::ProposeDone done) {
+        control_->Propose(next, change_id, std::move(done));
+      });
+  return control_->Open();
+}
+
+void VmProcess::Impl::OnPeerMessage(VmId from,
+                                    PeerChannel channel,
+                                    std::string payload) {
+  if (channel == PeerChannel::kFlow) {
+    flow_->PostPeerMessage(from, std::move(payload));
+  } else if (channel == PeerChannel::kRequest) {
+    request_->PostPeerMessage(from, std::move(payload));
+  }
+}
+
+int VmProcess::Impl::Run() {
+  log_.Message(LogLevel::kInfo, "serving");
+  WaitForSignal();
+  MaintainLog();
+  TryBootstrap(kBootstrapDelay);
+  flow_thread_ = std::thread([this] { flow_io_.run(); });
+  request_thread_ = std::thread([this] { request_io_.run(); });
+  control_io_.run();
+  return exit_code_;
+}
+
+void VmProcess::Impl::MaintainLog() {
+  log_.Maintain();
+  log_timer_.expires_after(kLogInterval);
+  log_timer_.async_wait([this](const asio::error_code& ec) {
+    if (!ec) {
+      MaintainLog();
+    }
+  });
+}
+
+void VmProcess::Impl::TryBootstrap(Duration delay) {
+  bootstrap_timer_.expires_after(delay);
+  bootstrap_timer_.async_wait([this](const asio::error_code& ec) {
+    if (!ec && !bootstrap_->Try()) {
+      TryBootstrap(kBootstrapInterval);
+    }
+  });
+}
+
+void VmProcess::Impl::WaitForSignal() {
+  signals_.async_wait([this](const asio::error_code& ec, int) {
+    if (!ec) {
+      OnSignal();
+    }
+  });
+}
+
+void VmProcess::Impl::OnSignal() {
+  if (stopping_) {
+    log_.Message(LogLevel::kWarning, "second signal: cutting what still runs");
+    Finish(1);
+    return;
+  }
+  stopping_ = true;
+  WaitForSignal();
+  BeginStop();
+}
+
+// Peers hear of the leave before the planes stop, so that ownership of buckets,
+// slots and key ranges moves while this VM can still answer for it.
+void VmProcess::Impl::BeginStop() {
+  log_.Message(LogLevel::kInfo, "stopping: finishing what runs");
+  control_->BeginLeave();
+  request_->PostStop(
+      [this] { asio::post(control_io_, [this] { OnPlaneStopped(); }); });
+  StopFlowPathWhenQuiet(flow_->Snapshot().packets_in);
+  // Longer than the planes' own deadline, which ends the ordinary stop.
+  stop_timer_.expires_after(settings_.limits.stop_deadline +
+                            std::chrono::seconds(2));
+  stop_timer_.async_wait([this](const asio::error_code& ec) {
+    if (!ec) {
+      OnStopDeadline();
+    }
+  });
+}
+
+// The flow plane stops after the request plane and then the control plane, so
+// that hand-over messages of both still leave.
+void VmProcess::Impl::OnPlaneStopped() {
+  if (--planes_running_ == 1) {
+    flow_->PostStop(
+        [this] { asio::post(control_io_, [this] { OnPlaneStopped(); }); });
+    return;
+  }
+  control_->Leave([this] { Finish(0); });
+}
+
+// Packets that the fabric still sends here after the deadline reach another VM
+// once it notices; only requests count as cut.
+void VmProcess::Impl::OnStopDeadline() {
+  const bool requests_cut = request_->Snapshot().open_requests > 0;
+  log_.Message(LogLevel::kWarning,
+               requests_cut ? "stop deadline: cutting requests"
+                            : "stop deadline: the fabric still sends packets");
+  Finish(requests_cut ? 1 : 0);
+}
+
+void VmProcess::Impl::Finish(int exit_code) {
+  exit_code_ = exit_code;
+  log_.Message(LogLevel::kInfo, "stopped");
+  log_.Maintain();
+  control_io_.stop();
+}
+
+VmProcess::VmProcess(const settings::Settings& settings)
+    : impl_(std::make_unique<Impl>(settings)) {}
+
+VmProcess::~VmProcess() = default;
+
+std::string VmProcess::Open() {
+  return impl_->Open();
+}
+
+int VmProcess::Run() {
+  return impl_->Run();
+}
+
+}  // namespace marjoramhall::app
