--- a/src/app/vm_process.cc
+++ b/src/app/vm_process.cc
@@ -362,15 +362,26 @@
   });
 }
 
-// The flow plane stops after the request plane and then the control plane, so
-// that hand-over messages of both still leave.
 void VmProcess::Impl::OnPlaneStopped() {
-  if (--planes_running_ == 1) {
+  if (--planes_running_ == 0) {
+    control_->Leave([this] { Finish(0); });
+  }
+}
+
+void VmProcess::Impl::StopFlowPathWhenQuiet(uint64_t packets_before) {
+  quiet_timer_.expires_after(kFabricQuiet);
+  quiet_timer_.async_wait([this, packets_before](const asio::error_code& ec) {
+    if (ec) {
+      return;
+    }
+    const uint64_t packets = flow_->Snapshot().packets_in;
+    if (packets != packets_before) {
+      StopFlowPathWhenQuiet(packets);
+      return;
+    }
     flow_->PostStop(
         [this] { asio::post(control_io_, [this] { OnPlaneStopped(); }); });
-    return;
-  }
-  control_->Leave([this] { Finish(0); });
+  });
 }
 
 // Packets that the fabric still sends here after the deadline reach another VM
@@ -380,7 +391,7 @@
   log_.Message(LogLevel::kWarning,
                requests_cut ? "stop deadline: cutting requests"
                             : "stop deadline: the fabric still sends packets");
-  Finish(requests_cut ? 1 : 0);
+  control_->Leave([this, requests_cut] { Finish(requests_cut ? 1 : 0); });
 }
 
 void VmProcess::Impl::Finish(int exit_code) {
