--- a/lab/main.cc
+++ b/lab/main.cc
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "lab/http_commands.h"
+#include "lab/flow_baselines.h"
 #include "lab/ports.h"
 #include "lab/store_commands.h"
 
@@ -21,6 +22,8 @@
 
 const std::vector<Command>& Commands() {
   static const std::vector<Command> kCommands = {
+      {"flow-experiment", "compare flow routing designs in virtual time",
+       marjoramhall::lab::RunFlowExperiment},
       {"ports", "print N free loopback ports", marjoramhall::lab::RunPorts},
       {"store", "stand-in for the platform's store",
        marjoramhall::lab::RunStore},
