Add the request experiment in virtual time

Cause: the targets at the crest and for head-of-line blocking need figures. Change: marjoramhall-lab request-experiment runs the cores of 7 VMs, round robin, random, two choices and an ideal central queue against the same load.

--- a/lab/main.cc
+++ b/lab/main.cc
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "lab/ports.h"
+#include "lab/request_experiment.h"
 
 namespace {
 
@@ -20,6 +21,8 @@
 const std::vector<Command>& Commands() {
   static const std::vector<Command> kCommands = {
       {"ports", "print N free loopback ports", marjoramhall::lab::RunPorts},
+      {"request-experiment", "compare request policies in virtual time",
+       marjoramhall::lab::RunRequestExperiment},
   };
   return kCommands;
 }
