--- a/lab/main.cc
+++ b/lab/main.cc
@@ -11,6 +11,7 @@
 #include "lab/flow_baselines.h"
 #include "lab/ports.h"
 #include "lab/store_commands.h"
+#include "lab/request_experiment.h"
 
 namespace {
 
@@ -31,6 +32,8 @@
        marjoramhall::lab::RunHttpTargets},
       {"http-load", "send requests and check the answers",
        marjoramhall::lab::RunHttpLoad},
+      {"request-experiment", "compare request policies in virtual time",
+       marjoramhall::lab::RunRequestExperiment},
   };
   return kCommands;
 }
