Add the command line

Cause: operators need commands with stable exit codes, JSON output and help that reads well. TCLAP takes an unknown option for an operand, so options are checked before it parses.

--- /dev/null
+++ b/src/app/exit_code.h
@@ -0,0 +1,17 @@
+// Exit codes of the command line, documented in docs/OPERATIONS.md.
+#ifndef MARJORAMHALL_APP_EXIT_CODE_H_
+#define MARJORAMHALL_APP_EXIT_CODE_H_
+
+namespace marjoramhall::app {
+
+enum ExitCode : int {
+  kExitOk = 0,
+  kExitFailed = 1,       // the work failed, or its outcome is not known
+  kExitUsage = 2,        // wrong arguments, settings or input
+  kExitRefused = 3,      // the deployment refused the change; nothing was done
+  kExitUnreachable = 4,  // no answer from the VM
+};
+
+}  // namespace marjoramhall::app
+
+#endif  // MARJORAMHALL_APP_EXIT_CODE_H_
--- /dev/null
+++ b/src/app/main.cc
@@ -0,0 +1,26 @@
+// The marjoramhall binary: dispatches to its commands.
+#include <iostream>
+
+#include "src/app/commands.h"
+
+namespace {
+
+constexpr marjoramhall::app::Command kCommands[] = {
+    {"check", "check a settings file and its deployment",
+     marjoramhall::app::RunCheck},
+    {"status", "print revisions, VMs and targets",
+     marjoramhall::app::RunStatus},
+    {"plan", "show what a change would do", marjoramhall::app::RunPlan},
+    {"confirm", "put a plan in force", marjoramhall::app::RunConfirm},
+    {"drain", "take a target out of service without cutting its work",
+     marjoramhall::app::RunDrain},
+    {"version", "print the version", marjoramhall::app::RunVersion},
+};
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  const std::vector<std::string> arguments(argv + 1, argv + argc);
+  return marjoramhall::app::RunCommand(kCommands, arguments,
+                                       {std::cout, std::cerr});
+}
--- a/tests/control/intent_world.h
+++ b/tests/control/intent_world.h
@@ -60,6 +60,7 @@
     ProposeDone done;
   };
   std::deque<Proposal> proposals;
+  bool immediate = false;  // proposals run at once
   std::optional<LoadView> load = LoadView{{}, true};
   int64_t now = 1'000'000;
 
@@ -81,6 +82,9 @@
     hooks.propose = [this, i](const config::Deployment& next,
                               const std::string&, ProposeDone done) {
       proposals.push_back({i, next, std::move(done)});
+      if (immediate) {
+        RunProposal();
+      }
     };
     hooks.unix_time = [this] { return now; };
     hooks.random = [this] { return ++random_; };
--- a/tests/net/intent_server_test.cc
+++ b/tests/net/intent_server_test.cc
@@ -7,7 +7,6 @@
 #include <openssl/x509.h>
 
 #include <asio/executor_work_guard.hpp>
-#include <asio/post.hpp>
 #include <cstdio>
 #include <thread>
 
@@ -41,15 +40,6 @@
     }
   }
 
-  // Lets the store answer the next proposal, on the control thread.
-  void RunNextProposal() {
-    if (world_.proposals.empty()) {
-      asio::post(io_, [this] { RunNextProposal(); });
-    } else {
-      world_.RunProposal();
-    }
-  }
-
   httplib::Client ClientWith(const std::string& token) {
     httplib::Client client("127.0.0.1", server_->LocalEndpoint().port);
     if (!token.empty()) {
@@ -84,12 +74,12 @@
 }
 
 TEST_F(IntentServerTest, PlansAndConfirmsOverHttp) {
+  world_.immediate = true;
   Start({});
   auto client = ClientWith("");
   const auto body = control::PlanBody("ana", control::Drain("long-0"));
   const auto plan = client.Post("/v1/plans", body, kJson);
   ASSERT_EQ(plan->status, 200);
-  asio::post(io_, [this] { RunNextProposal(); });
   const std::string id = control::TestJson::parse(plan->body)["plan_id"];
   const auto confirmed =
       client.Post("/v1/plans/" + id + "/confirm", plan->body, kJson);
