--- a/src/app/main.cc
+++ b/src/app/main.cc
@@ -6,6 +6,7 @@
 namespace {
 
 constexpr marjoramhall::app::Command kCommands[] = {
+    {"run", "run a VM", marjoramhall::app::RunRun},
     {"check", "check a settings file and its deployment",
      marjoramhall::app::RunCheck},
     {"status", "print revisions, VMs and targets",
--- a/src/app/vm_process.cc
+++ b/src/app/vm_process.cc
@@ -17,14 +17,18 @@
 #include <utility>
 
 #include "src/app/bootstrap.h"
+#include "src/app/vm_metrics.h"
 #include "src/config/deployment_json.h"
+#include "src/control/intent_service.h"
 #include "src/net/control_node.h"
 #include "src/net/flow_path.h"
 #include "src/net/http_store_client.h"
+#include "src/net/intent_server.h"
 #include "src/net/key_range_store.h"
 #include "src/net/local_store.h"
 #include "src/net/request_path.h"
 #include "src/observe/decision_log.h"
+#include "src/observe/metrics.h"
 
 namespace marjoramhall::app {
 namespace {
@@ -116,6 +120,10 @@
 
   net::ControlNodeOptions ControlOptions() const;
   control::StoreClient MakeStore();
+  void MakeControlNode();
+  std::string OpenOperatorSide();
+  control::IntentHooks MakeIntentHooks();
+  std::vector<control::IntentMember> IntentMembers() const;
   void OnPeerMessage(VmId from, PeerChannel channel, std::string payload);
   void WaitForSignal();
   void OnSignal();
@@ -149,16 +157,17 @@
   std::unique_ptr<net::FlowPath> flow_;
   std::unique_ptr<net::RequestPath> request_;
   std::unique_ptr<net::ControlNode> control_;
+  observe::MetricsRegistry metrics_;
+  std::unique_ptr<control::IntentService> intent_;
+  std::unique_ptr<net::IntentServer> intent_server_;
 
   // Set before the traffic threads start, then read-only.
   SendToPeer sender_;
   std::thread flow_thread_;
   std::thread request_thread_;
 
-  // Revision 0: the settings name no deployment file.
+  // Control thread only. Revision 0: the settings name no deployment file.
   config::Deployment initial_;
-
-  // Control thread only.
   std::unique_ptr<Bootstrap> bootstrap_;
   bool stopping_ = false;
   int planes_running_ = 2;
@@ -263,6 +272,12 @@
       return error;
     }
   }
+  MakeControlNode();
+  error = control_->Open();
+  return error.empty() ? OpenOperatorSide() : error;
+}
+
+void VmProcess::Impl::MakeControlNode() {
   control_ = std::make_unique<net::ControlNode>(
       control_io_, ControlOptions(), store_,
       control::DeploymentCodec{config::ToJson, config::FromJson},
@@ -282,7 +297,55 @@
              control::ProposeDone done) {
         control_->Propose(next, change_id, std::move(done));
       });
-  return control_->Open();
+}
+
+std::vector<control::IntentMember> VmProcess::Impl::IntentMembers() const {
+  std::vector<control::IntentMember> members;
+  for (const config::Member& it : control_->CurrentView()->members) {
+    members.push_back(
+        {it.name, it.domain, std::string(NameOf(it.state)), it.revision});
+  }
+  for (const config::Member& it : control_->RemovedMembers()) {
+    members.push_back({it.name, it.domain, "removed", it.revision});
+  }
+  return members;
+}
+
+control::IntentHooks VmProcess::Impl::MakeIntentHooks() {
+  control::IntentHooks hooks;
+  hooks.current = [this] { return control_->CurrentView()->deployment; };
+  hooks.members = [this] { return IntentMembers(); };
+  hooks.load = [] { return std::optional<control::LoadView>(); };
+  hooks.propose = [this](const config::Deployment& next,
+                         const std::string& change_id,
+                         control::ProposeDone done) {
+    control_->Propose(next, change_id, std::move(done));
+  };
+  hooks.unix_time = UnixTime;
+  hooks.random = RandomSeed;
+  hooks.decide = log_.Hook();
+  return hooks;
+}
+
+std::string VmProcess::Impl::OpenOperatorSide() {
+  AddVmMetrics(metrics_, {[this] { return flow_->Snapshot(); },
+                          [this] { return request_->Snapshot(); },
+                          [this] { return control_->Snapshot(); },
+                          [this] { return log_.Dropped(); }});
+  control::IntentOptions intent;
+  intent.vm = settings_.vm.name;
+  intent.key = settings_.control.key.Reveal();
+  intent_ = std::make_unique<control::IntentService>(intent, MakeIntentHooks());
+  net::IntentServerOptions options;
+  options.listen = settings_.operators.listen;
+  options.token = settings_.operators.token;
+  options.tls_certificate = settings_.operators.tls_certificate;
+  options.tls_key = settings_.operators.tls_key;
+  options.largest_body = settings_.limits.operator_request;
+  options.metrics = [this] { return metrics_.Render(); };
+  intent_server_ = std::make_unique<net::IntentServer>(
+      control_io_, std::move(options), *intent_);
+  return intent_server_->Open();
 }
 
 void VmProcess::Impl::OnPeerMessage(VmId from,
--- a/tools/site.sh
+++ b/tools/site.sh
@@ -117,7 +117,7 @@
 }
 
 start_vm() {
-  start "vm-$1" "$bin" run "$dir/vm-$1.ini"
+  start "vm-$1" "$bin" run --settings "$dir/vm-$1.ini"
 }
 
 # wait_for SECONDS COMMAND...: until the command succeeds.
