--- a/tools/site.sh
+++ b/tools/site.sh
@@ -1,9 +1,10 @@
-# Functions that lay out and run a site on loopback: 7 VMs in 4 failure domains,
-# services yardbook (14 targets) and sitepics (4 targets), the platform's store.
+# Functions that lay out and run a site on loopback: 7 VMs in 4 failure domains
+# and settings for one more that joins later, services yardbook (14 targets) and sitepics (4 targets), the platform's store.
 # Sourced by tools/demo.sh. Expects $bin (marjoramhall), $lab (marjoramhall-lab)
 # and $dir (an empty folder for settings, logs and results).
 
 readonly vm_count=7
+readonly vm_slots=8
 readonly domains=(hillside creek orchard ridge)
 declare -A pids=()
 declare -a flow_ports hop_ports request_ports control_ports operator_ports
@@ -12,17 +13,17 @@
 
 take_ports() {
   local ports
-  mapfile -t ports < <("$lab" ports $((5 * vm_count + 37)))
-  flow_ports=("${ports[@]:0:7}")
-  hop_ports=("${ports[@]:7:7}")
-  request_ports=("${ports[@]:14:7}")
-  control_ports=("${ports[@]:21:7}")
-  operator_ports=("${ports[@]:28:7}")
-  yardbook_ports=("${ports[@]:35:14}")
-  sitepics_ports=("${ports[@]:49:4}")
-  yardbook_flow_ports=("${ports[@]:53:14}")
-  sitepics_flow_ports=("${ports[@]:67:4}")
-  store_port=${ports[71]}
+  mapfile -t ports < <("$lab" ports $((5 * vm_slots + 37)))
+  flow_ports=("${ports[@]:0:8}")
+  hop_ports=("${ports[@]:8:8}")
+  request_ports=("${ports[@]:16:8}")
+  control_ports=("${ports[@]:24:8}")
+  operator_ports=("${ports[@]:32:8}")
+  yardbook_ports=("${ports[@]:40:14}")
+  sitepics_ports=("${ports[@]:54:4}")
+  yardbook_flow_ports=("${ports[@]:58:14}")
+  sitepics_flow_ports=("${ports[@]:72:4}")
+  store_port=${ports[76]}
 }
 
 # target_json SERVICE INDEX REQUEST_PORT FLOW_PORT
@@ -103,7 +104,7 @@
   head -c 24 /dev/urandom | od -An -tx1 | tr -d ' \n' >"$dir/operators.token"
   chmod 600 "$dir/control.key" "$dir/operators.token"
   write_deployment
-  for ((i = 0; i < vm_count; i++)); do
+  for ((i = 0; i < vm_slots; i++)); do
     write_settings "$i"
   done
 }
@@ -167,8 +168,17 @@
   done
 }
 
+# fabric_list VM_NUMBER...: the platform's list of VMs that packets are sent to.
+fabric_list() {
+  local it
+  for it in "$@"; do
+    echo "127.0.0.1:${flow_ports[$((it - 1))]}"
+  done >"$dir/fabric.next"
+  mv "$dir/fabric.next" "$dir/fabric.list"
+}
+
 store_faults() {
-  curl -sS --max-time 5 -X POST "http://127.0.0.1:$store_port/lab/faults" \
+  curl -sSf --max-time 5 -X PUT "http://127.0.0.1:$store_port/lab/faults" \
     -d "$1" >/dev/null
 }
 
