--- a/src/request/admission_queue.cc
+++ b/src/request/admission_queue.cc
@@ -4,6 +4,14 @@
 #include <algorithm>
 
 namespace marjoramhall::request {
+namespace {
+
+// One part in this many is added to the expected wait. Without it, some 1% of
+// the requests refused at a crest of twice the capacity had waited for most of
+// their deadline; with 5% instead of 2%, goodput fell by 2%.
+constexpr int kWaitMargin = 50;
+
+}  // namespace
 
 void AdmissionQueue::Push(config::Priority priority, RequestId id, bool front) {
   if (front) {
@@ -31,7 +39,8 @@
 }
 
 bool MeetsDeadline(const AdmissionInput& input) {
-  return ExpectedWait(input) + input.service <= input.time_left;
+  const Duration wait = ExpectedWait(input);
+  return wait + wait / kWaitMargin + input.service <= input.time_left;
 }
 
 }  // namespace marjoramhall::request
