--- a/src/request/key_claims.cc
+++ b/src/request/key_claims.cc
@@ -171,9 +171,15 @@
 
 Refusal KeyClaims::WhyWaiting(RequestId id) const {
   const auto it = claims_.find(id);
-  return it != claims_.end() && it->second.busy
-             ? MayHaveRun(RefusalReason::kKeyInUse)
-             : NotRun(RefusalReason::kKeyOwnerUnreachable);
+  if (it != claims_.end() && it->second.busy) {
+    return MayHaveRun(RefusalReason::kKeyInUse);
+  }
+  Refusal refusal = NotRun(RefusalReason::kKeyOwnerUnreachable);
+  if (it != claims_.end() && !it->second.first_attempt) {
+    // Nobody could say what became of earlier submissions.
+    refusal.verdict = Verdict::kMayHaveRun;
+  }
+  return refusal;
 }
 
 void KeyClaims::Finish(RequestId id,
--- a/src/request/request_lifecycle.cc
+++ b/src/request/request_lifecycle.cc
@@ -94,6 +94,7 @@
                       info.fingerprint, info.declared_first_attempt, left, now);
   } else {
     runner->Enqueue(record, false);
+    Touch(info.service);
   }
   Settle(now);
 }
@@ -102,6 +103,7 @@
   RequestRecord* request = Find(id);
   if (request != nullptr && request->state == RequestState::kClaiming) {
     RunnerOf(request->info.service)->Enqueue(*request, false);
+    Touch(request->info.service);
   }
 }
 
@@ -130,6 +132,7 @@
     return;
   }
   ServiceRunner& runner = *RunnerOf(request->info.service);
+  Touch(request->info.service);
   runner.OnAttemptEnd(*request, result, now);
   const bool cancelled = request->state == RequestState::kCancelling;
   request->may_have_run |= result.outcome == AttemptOutcome::kMayHaveRun ||
--- a/src/request/request_plane.cc
+++ b/src/request/request_plane.cc
@@ -133,6 +133,9 @@
   range_keeper_.OnView(now);
   UpdateServices(now);
   Settle(now);
+  for (auto& [id, state] : services_) {
+    Pump(*state.runner, now);
+  }
 }
 
 void RequestPlane::Impl::UpdateServices(TimePoint now) {
@@ -286,6 +289,7 @@
     case RequestMessage::kSlotLend: {
       const protocol::SlotLend& lend = message.slot_lend();
       if (find(lend.service())) {
+        Touch(static_cast<ServiceId>(lend.service()));
         runner->OnLend(from, lend.sequence(),
                        static_cast<TargetId>(lend.target()), now);
       }
@@ -294,6 +298,7 @@
     case RequestMessage::kSlotGiveBack: {
       const protocol::SlotGiveBack& back = message.slot_give_back();
       if (find(back.service())) {
+        Touch(static_cast<ServiceId>(back.service()));
         runner->OnGiveBack(from, message.incarnation(), back.sequence());
       }
       return true;
@@ -311,6 +316,7 @@
   if (runner == nullptr || from != runner->ledger().allocator()) {
     return;
   }
+  Touch(id);
   if (runner->ledger().OnGrant(from, grant, now)) {
     Decision decision;
     decision.kind = DecisionKind::kMoveSlots;
@@ -392,12 +398,19 @@
       Handle(keys_.self, message, now);
     }
   }
-  for (auto& [id, state] : services_) {
-    if (!state.runner->queue().Empty()) {
-      state.runner->Pump(now);
+  for (size_t i = 0; i < touched_.size(); ++i) {
+    if (ServiceRunner* runner = RunnerOf(touched_[i])) {
+      Pump(*runner, now);
     }
-    state.runner->ServeBorrowers(now);
   }
+  touched_.clear();
+}
+
+void RequestPlane::Impl::Pump(ServiceRunner& runner, TimePoint now) {
+  if (!runner.queue().Empty()) {
+    runner.Pump(now);
+  }
+  runner.ServeBorrowers(now);
 }
 
 void RequestPlane::Impl::TickSlots(TimePoint now) {
@@ -444,6 +457,9 @@
     }
   }
   Settle(now);
+  for (auto& [id, state] : services_) {
+    Pump(*state.runner, now);
+  }
   if (requests_.empty() && idle_since_ == TimePoint{}) {
     idle_since_ = now;
   }
--- a/src/request/request_plane_impl.h
+++ b/src/request/request_plane_impl.h
@@ -76,9 +76,12 @@
                   const protocol::RequestMessage& message,
                   TimePoint now);
   void OnGrant(VmId from, const protocol::SlotGrant& grant, TimePoint now);
-  // Handles messages to this VM itself, then starts what can start. Ends every
-  // event.
+  // The service's waiting requests may be able to start.
+  void Touch(ServiceId id) { touched_.push_back(id); }
+  // Handles messages to this VM itself, then starts what can start in the
+  // touched services. Ends every event.
   void Settle(TimePoint now);
+  void Pump(ServiceRunner& runner, TimePoint now);
   void TickSlots(TimePoint now);
 
   // request_lifecycle.cc: the life of a request.
@@ -124,6 +127,9 @@
   // Every live request has an entry; entries of ended ones are skipped.
   std::priority_queue<Deadline, std::vector<Deadline>, std::greater<>>
       deadlines_;
+  // Services to pump when the event ends. An event must not cost a pass over
+  // all services.
+  std::vector<ServiceId> touched_;
   // Messages of this VM to itself, handled when the event ends.
   std::deque<std::string> own_messages_;
 
