--- a/src/control/membership.cc
+++ b/src/control/membership.cc
@@ -77,6 +77,9 @@
   }
   MembershipMessage reply;
   ApplyUpdates(message, from, now, &reply);
+  if (const auto it = present_.find(from); it != present_.end()) {
+    it->second.heard = now;
+  }
   if (message.kind() == MembershipMessage::JOIN) {
     HandleJoin(message, reply);
     return;
@@ -150,6 +153,7 @@
   ping.set_kind(MembershipMessage::PING);
   ping.set_nonce(++next_nonce_);
   relays_[next_nonce_] = {from, message.nonce(), now + options_.probe_timeout};
+  Introduce(&ping);
   Send(subject, &ping);
 }
 
@@ -180,8 +184,8 @@
   }
   // A difference that rumors will settle anyway is not worth a synchronisation,
   // and 64 full records (5 KB) may go out at most once in this time.
-  const bool small = present_.size() <= kMembersPerPart;
-  next_sync_ = now + (small ? std::chrono::milliseconds(500)
+  const bool often = present_.size() <= kMembersPerPart || IsYoung(now);
+  next_sync_ = now + (often ? std::chrono::milliseconds(500)
                             : std::chrono::milliseconds(8000));
   SendSync(from, message.part(), message.parts());
 }
@@ -308,7 +312,7 @@
 }
 
 size_t Membership::RumorLimit() const {
-  return 3 * static_cast<size_t>(std::bit_width(present_.size()));
+  return 2 * static_cast<size_t>(std::bit_width(present_.size())) + 2;
 }
 
 void Membership::SetHeld(uint64_t lineage, Revision revision) {
--- a/src/control/membership.h
+++ b/src/control/membership.h
@@ -102,9 +102,12 @@
 
   // membership_probe.cc: probes, joins and contact with removed members.
   void CheckPause(TimePoint now);
+  void SendRefutation(TimePoint now);
   VmId NextProbed();
   void StartProbe(TimePoint now);
   void Spread(const MemberRecord& record);
+  void Introduce(protocol::MembershipMessage* message);
+  bool IsYoung(TimePoint now) const;
   void AdvanceProbes(TimePoint now);
   void SendIndirect(const Probe& probe);
   void CheckSuspects(TimePoint now);
@@ -180,7 +183,11 @@
   size_t next_seed_ = 0;
   bool joined_ = false;
   bool stopped_ = false;
+  TimePoint started_{};
   TimePoint last_event_{};
+  // Rounds of telling peers that this VM is back after a pause.
+  int refutation_rounds_ = 0;
+  TimePoint next_refutation_{};
   TimePoint next_probe_{};
   TimePoint next_seed_contact_{};
   TimePoint next_removed_contact_{};
--- a/src/control/membership_merge.cc
+++ b/src/control/membership_merge.cc
@@ -20,6 +20,9 @@
 // A suspicion of this age may be cut short by another VM's removal.
 constexpr Duration kRipeSuspicion = std::chrono::seconds(1);
 
+// A member that was heard this recently is not suspected on hearsay.
+constexpr Duration kJustHeard = std::chrono::seconds(1);
+
 Standing StandingOf(const MemberUpdate& update) {
   return static_cast<Standing>(std::clamp<int>(update.state(), 0, 4));
 }
@@ -206,6 +209,10 @@
     fresh->standing = record->standing;
     fresh->changed = record->changed;
     fresh->deadline = record->deadline;
+    fresh->next_contact = record->next_contact;
+    fresh->heard = record->heard;
+    fresh->leaving = record->leaving;
+    fresh->member.state = record->member.state;
     *record = std::move(*fresh);
   }
   record->member.incarnation = update.incarnation();
@@ -215,7 +222,19 @@
     Remove(id, standing, now);
   } else if (standing == Standing::kRemoved) {
     // Another VM's timer ran out. This VM follows only if it had its own
-    // doubts; otherwise the member gets a last chance to refute.
+    // doubts; otherwise the member gets a last chance to refute. One that was
+    // just heard is told only: after a partition, the removals by the other
+    // side would make suspects of members that are fine.
+    if (now - record->heard < kJustHeard &&
+        record->standing != Standing::kSuspect) {
+      if (now >= record->next_contact) {
+        record->next_contact = now + options_.probe_interval;
+        MemberRecord claim = *record;
+        claim.standing = Standing::kRemoved;
+        Notify(claim);
+      }
+      return;
+    }
     if (record->standing == Standing::kSuspect &&
         now - record->changed >= kRipeSuspicion) {
       Remove(id, Standing::kRemoved, now);
--- a/src/control/membership_probe.cc
+++ b/src/control/membership_probe.cc
@@ -14,6 +14,7 @@
     return;
   }
   CheckPause(now);
+  SendRefutation(now);
   AdvanceProbes(now);
   CheckSuspects(now);
   if (now >= next_probe_) {
@@ -31,6 +32,9 @@
 // targets, and others may have started to suspect this VM.
 void Membership::CheckPause(TimePoint now) {
   const bool first = last_event_ == TimePoint();
+  if (first) {
+    started_ = now;
+  }
   const Duration gap = first ? Duration(0) : now - last_event_;
   last_event_ = std::max(now, last_event_);
   if (gap < options_.pause_threshold) {
@@ -46,12 +50,24 @@
   }
   if (gap >= options_.probe_timeout) {
     Refute(Self().member.incarnation, false, now);
-    for (const PeerAddress& it : RandomPeers(2 * options_.indirect_helpers)) {
-      MembershipMessage message;
-      message.set_kind(MembershipMessage::NOTICE);
-      EncodeRecord(Self(), false, message.add_updates());
-      Send(it, &message);
-    }
+    // Repeated, since 20% loss of a single round left members that did not
+    // hear it before their suspicion ended.
+    refutation_rounds_ = 3;
+    next_refutation_ = now;
+  }
+}
+
+void Membership::SendRefutation(TimePoint now) {
+  if (refutation_rounds_ == 0 || now < next_refutation_) {
+    return;
+  }
+  --refutation_rounds_;
+  next_refutation_ = now + options_.indirect_after;
+  for (const PeerAddress& it : RandomPeers(2 * options_.indirect_helpers)) {
+    MembershipMessage message;
+    message.set_kind(MembershipMessage::NOTICE);
+    EncodeRecord(Self(), false, message.add_updates());
+    Send(it, &message);
   }
 }
 
@@ -93,9 +109,21 @@
   message.set_nonce(++next_nonce_);
   probes_.push_back({id, next_nonce_, now, 0});
   ++stats_.probes;
+  if (IsYoung(now)) {
+    Introduce(&message);
+  }
   Send(AddressOf(id), &message);
 }
 
+// A receiver that does not know this VM, or has removed it, could not answer.
+void Membership::Introduce(MembershipMessage* message) {
+  EncodeRecord(Self(), true, message->add_updates());
+}
+
+bool Membership::IsYoung(TimePoint now) const {
+  return now - started_ < options_.introduction;
+}
+
 // Tells a few peers at once; the usual piggybacking takes up to a second more
 // until all have heard.
 void Membership::Spread(const MemberRecord& record) {
@@ -118,6 +146,7 @@
         MembershipMessage message;
         message.set_kind(MembershipMessage::PING);
         message.set_nonce(it.nonce);
+        Introduce(&message);
         Send(to, &message);
       }
     }
@@ -155,6 +184,7 @@
     message.set_kind(MembershipMessage::PING_REQUEST);
     message.set_nonce(probe.nonce);
     message.set_subject(ToInteger(probe.id));
+    Introduce(&message);
     Send(it, &message);
   }
 }
@@ -165,10 +195,7 @@
   message.set_kind(MembershipMessage::PING);
   message.set_nonce(++next_nonce_);
   EncodeRecord(record, false, message.add_updates());
-  if (record.standing >= Standing::kRemoved) {
-    // It may have forgotten this VM, or never heard of it.
-    EncodeRecord(Self(), true, message.add_updates());
-  }
+  Introduce(&message);
   Send({record.member.id, record.member.incarnation,
         record.member.control_endpoint},
        &message);
--- a/src/control/membership_rumors.h
+++ b/src/control/membership_rumors.h
@@ -35,7 +35,8 @@
   bool empty() const { return items_.empty(); }
 
   // Offers items in rising order of transmissions until `take` returns false;
-  // each item taken counts as sent once more and is dropped after `limit`.
+  // each item taken counts as sent once more and is dropped after `limit`. A
+  // full record counts twice: it is long, and synchronisation makes up for it.
   void Take(size_t limit, const std::function<bool(VmId, bool full)>& take) {
     std::set<std::pair<size_t, VmId>> again;
     while (!order_.empty()) {
@@ -44,9 +45,10 @@
         break;
       }
       order_.erase(order_.begin());
-      if (sent + 1 < limit) {
-        again.insert({sent + 1, id});
-        items_[id].sent = sent + 1;
+      const size_t next = sent + (items_[id].full ? 2 : 1);
+      if (next < limit) {
+        again.insert({next, id});
+        items_[id].sent = next;
       } else {
         items_.erase(id);
       }
--- a/src/control/membership_types.h
+++ b/src/control/membership_types.h
@@ -44,6 +44,8 @@
   TimePoint deadline;
   // When a suspect is asked directly again, or a removed member is told.
   TimePoint next_contact;
+  // When a message of it last arrived here.
+  TimePoint heard;
 };
 
 // Defaults keep a member through a pause of 2 s (suspicion starts 0.6 s after
@@ -65,6 +67,10 @@
   // quarantine and they are looked for after a partition.
   Duration removed_memory = std::chrono::hours(24);
   size_t indirect_helpers = 3;
+  // A VM introduces itself with each probe this long after its start, and
+  // compares members often: in a mass start, peers may not know it yet and
+  // could not answer. 128 VMs started at once removed each other 266 times.
+  Duration introduction = std::chrono::seconds(30);
   // Limits of what rides on one message.
   size_t update_bytes = 400;
   size_t held_entries = 12;
--- a/tests/control/control_core_test.cc
+++ b/tests/control/control_core_test.cc
@@ -81,11 +81,16 @@
   ProposeAt(sim, 0, "second", &results);
   sim.Run(seconds(2));
   sim.Partition({1, 0, 0, 0, 0, 0, 0});
+  for (size_t i = 1; i < 7; ++i) {
+    sim.vm(i).store_blocked = true;
+  }
   ProposeAt(sim, 0, "lost", &results);
   sim.Run(milliseconds(100));
   ASSERT_EQ(results.size(), 3u);
   EXPECT_EQ(results[2].outcome, ProposeOutcome::kAccepted);
-  sim.vm(0).store_blocked = true;
+  for (size_t i = 0; i < 7; ++i) {
+    sim.vm(i).store_blocked = i == 0;
+  }
   sim.store().Restore(backup);
   sim.Run(seconds(5));
   ProposeAt(sim, 1, "third", &results);
