--- a/lab/control_sim.h
+++ b/lab/control_sim.h
@@ -29,8 +29,8 @@
   // Upper bound of an extra random delay of each message.
   Duration jitter{0};
   bool store_down = false;
-  // Part of store calls that fail before, or whose answer is lost after, the
-  // call took effect.
+  // Part of store calls that are refused, and of writes that take effect but
+  // lose their answer.
   double store_refuse = 0;
   double store_lose_answer = 0;
   Duration store_delay{0};
@@ -73,8 +73,10 @@
   uint64_t store_calls(const std::string& kind) { return store_calls_[kind]; }
   // Decisions in the order they were made, when recording is on.
   void Record(std::vector<std::string>* lines) { record_ = lines; }
-  // Set when an accepted revision went back on some VM.
+  // Set when an accepted revision went back on some VM, or two VMs held
+  // different contents of one revision.
   const std::string& violation() const { return violation_; }
+  const std::map<Revision, std::string>& accepted() const { return accepted_; }
 
   size_t AddVm() {
     const size_t i = vms_.size();
@@ -95,15 +97,18 @@
   // Starts, or restarts, the process of a VM. A replaced VM has lost its
   // content as a restarted one has: VMs are diskless.
   void Start(size_t i) {
+    StartWithIncarnation(
+        i, 1'700'000'000'000'000U +
+               static_cast<uint64_t>(now_.time_since_epoch().count()));
+  }
+  void StartWithIncarnation(size_t i, Incarnation incarnation) {
     Vm& vm = *vms_[i];
     vm.core.reset();
     ++vm.process;
     vm.paused = false;
     vm.held.clear();
     vm.highest = 0;
-    vm.member.incarnation =
-        1'700'000'000'000'000U +
-        static_cast<uint64_t>(now_.time_since_epoch().count());
+    vm.member.incarnation = incarnation;
     vm.codec = std::make_unique<protocol::EnvelopeCodec>(
         "sim", "key", vm.member.id, vm.member.incarnation);
     control::ControlCoreOptions options = options_;
@@ -229,6 +234,10 @@
     }
     return true;
   }
+  bool AnyPaused() const {
+    return std::any_of(vms_.begin(), vms_.end(),
+                       [](const auto& it) { return it->paused; });
+  }
   uint64_t TotalRemovals() {
     uint64_t n = 0;
     for (const auto& vm : vms_) {
@@ -333,7 +342,9 @@
       return;
     }
     auto opened = vm.codec->Open(payload);
-    if (opened.error == protocol::EnvelopeError::kNone) {
+    if (opened.error == protocol::EnvelopeError::kOldIncarnation) {
+      vm.core->OnOldIncarnation(opened.sender);
+    } else if (opened.error == protocol::EnvelopeError::kNone) {
       vm.core->OnPeerMessage(opened.sender, opened.addressed, opened.channel,
                              std::move(opened.payload));
     }
@@ -361,7 +372,7 @@
       return;
     }
     const auto [status, value] = call();
-    const bool lost = Chance(faults_.store_lose_answer);
+    const bool lost = kind != "read" && Chance(faults_.store_lose_answer);
     answer(lost ? control::StoreStatus::kUnknown : status, value);
   }
 
@@ -442,6 +453,12 @@
     }
     if (revision > vm.highest) {
       vm.reached = now_;
+      const std::string text = FormatSimDeployment(*view.deployment);
+      const auto known = accepted_.emplace(revision, text).first;
+      if (known->second != text) {
+        violation_ = vm.name + " has another content of revision " +
+                     std::to_string(revision);
+      }
     }
     vm.highest = revision;
   }
@@ -479,6 +496,8 @@
   std::map<std::string, uint64_t> store_calls_;
   std::vector<std::string>* record_ = nullptr;
   std::string violation_;
+  // Text of each revision that was in force on some VM.
+  std::map<Revision, std::string> accepted_;
 };
 
 }  // namespace marjoramhall::lab
--- a/lab/main.cc
+++ b/lab/main.cc
@@ -7,9 +7,12 @@
 #include <string_view>
 #include <vector>
 
+#include "lab/http_commands.h"
 #include "lab/flow_baselines.h"
 #include "lab/flow_commands.h"
 #include "lab/ports.h"
+#include "lab/store_commands.h"
+#include "lab/request_experiment.h"
 
 namespace {
 
@@ -26,6 +29,14 @@
       {"flow-load", "open flows through VMs and check where they arrive",
        marjoramhall::lab::RunFlowLoad},
       {"ports", "print N free loopback ports", marjoramhall::lab::RunPorts},
+      {"store", "stand-in for the platform's store",
+       marjoramhall::lab::RunStore},
+      {"http-targets", "run stand-in targets",
+       marjoramhall::lab::RunHttpTargets},
+      {"http-load", "send requests and check the answers",
+       marjoramhall::lab::RunHttpLoad},
+      {"request-experiment", "compare request policies in virtual time",
+       marjoramhall::lab::RunRequestExperiment},
   };
   return kCommands;
 }
--- a/src/request/request_plane.cc
+++ b/src/request/request_plane.cc
@@ -68,7 +68,8 @@
   hooks.learn = [this](const protocol::KeyReply& reply, TimePoint now) {
     protocol::RangesAnnounce announce;
     *announce.add_records() = reply.record();
-    range_keeper_.OnAnnounce(announce, now);
+    // The replier speaks of the record only, not of its own role.
+    range_keeper_.OnAnnounce(VmId::kNone, announce, now);
   };
   return hooks;
 }
@@ -82,6 +83,25 @@
                        TimePoint now) { StartAttempt(request, target, now); };
   hooks.refuse = [this](RequestRecord& request, const Refusal& refusal,
                         TimePoint now) { Refuse(request, refusal, now); };
+  hooks.loans.borrow = [this, id](VmId to, uint64_t sequence) {
+    RequestMessage message;
+    message.mutable_slot_borrow()->set_service(ToInteger(id));
+    message.mutable_slot_borrow()->set_sequence(sequence);
+    Send(to, message);
+  };
+  hooks.loans.lend = [this, id](VmId to, uint64_t sequence, TargetId target) {
+    RequestMessage message;
+    message.mutable_slot_lend()->set_service(ToInteger(id));
+    message.mutable_slot_lend()->set_sequence(sequence);
+    message.mutable_slot_lend()->set_target(ToInteger(target));
+    Send(to, message);
+  };
+  hooks.loans.give_back = [this, id](VmId to, uint64_t sequence) {
+    RequestMessage message;
+    message.mutable_slot_give_back()->set_service(ToInteger(id));
+    message.mutable_slot_give_back()->set_sequence(sequence);
+    Send(to, message);
+  };
   hooks.health = [this, id](TargetId target, std::string_view outcome) {
     Decision decision;
     decision.kind = DecisionKind::kTargetHealth;
@@ -113,6 +133,9 @@
   range_keeper_.OnView(now);
   UpdateServices(now);
   Settle(now);
+  for (auto& [id, state] : services_) {
+    Pump(*state.runner, now);
+  }
 }
 
 void RequestPlane::Impl::UpdateServices(TimePoint now) {
@@ -123,7 +146,14 @@
                                                      MakeRunnerHooks(it.id));
     }
   }
+  std::vector<VmId> peers;
+  for (const config::Member& it : view_->members) {
+    if (it.id != keys_.self && it.state == config::MemberState::kAlive) {
+      peers.push_back(it.id);
+    }
+  }
   for (auto& [id, state] : services_) {
+    state.runner->SetPeers(peers);
     const auto& services = view_->deployment->services;
     const auto it = std::find_if(
         services.begin(), services.end(),
@@ -217,8 +247,8 @@
       if (it == services_.end() || it->second.allocator == nullptr) {
         return true;
       }
-      if (report.epoch() > it->second.allocator->epoch()) {
-        // Another VM has been the allocator since; its table must be rebuilt.
+      if (it->second.allocator->IsOutdatedBy(from, report)) {
+        // Another allocator has granted since; its table must be rebuilt.
         it->second.allocator = std::make_unique<SlotAllocator>(
             options_, it->first, report.epoch() + 1, now, lost_member_at_);
         it->second.allocator->OnView(*view_, it->second.runner->service(), now);
@@ -235,6 +265,44 @@
         runner->ledger().OnQuery(from);
       }
       return true;
+    default:
+      return HandleLoans(from, message, now);
+  }
+}
+
+bool RequestPlane::Impl::HandleLoans(VmId from,
+                                     const RequestMessage& message,
+                                     TimePoint now) {
+  ServiceRunner* runner = nullptr;
+  const auto find = [&](uint32_t service) {
+    runner = RunnerOf(static_cast<ServiceId>(service));
+    return runner != nullptr;
+  };
+  switch (message.body_case()) {
+    case RequestMessage::kSlotBorrow: {
+      const protocol::SlotBorrow& borrow = message.slot_borrow();
+      if (find(borrow.service())) {
+        runner->OnBorrow(from, message.incarnation(), borrow.sequence(), now);
+      }
+      return true;
+    }
+    case RequestMessage::kSlotLend: {
+      const protocol::SlotLend& lend = message.slot_lend();
+      if (find(lend.service())) {
+        Touch(static_cast<ServiceId>(lend.service()));
+        runner->OnLend(from, lend.sequence(),
+                       static_cast<TargetId>(lend.target()), now);
+      }
+      return true;
+    }
+    case RequestMessage::kSlotGiveBack: {
+      const protocol::SlotGiveBack& back = message.slot_give_back();
+      if (find(back.service())) {
+        Touch(static_cast<ServiceId>(back.service()));
+        runner->OnGiveBack(from, message.incarnation(), back.sequence());
+      }
+      return true;
+    }
     default:
       return false;
   }
@@ -248,6 +316,7 @@
   if (runner == nullptr || from != runner->ledger().allocator()) {
     return;
   }
+  Touch(id);
   if (runner->ledger().OnGrant(from, grant, now)) {
     Decision decision;
     decision.kind = DecisionKind::kMoveSlots;
@@ -300,7 +369,7 @@
       break;
     case RequestMessage::kRangesAnnounce:
       if (view_ != nullptr) {
-        range_keeper_.OnAnnounce(message.ranges_announce(), now);
+        range_keeper_.OnAnnounce(from, message.ranges_announce(), now);
       }
       break;
     default:
@@ -329,16 +398,25 @@
       Handle(keys_.self, message, now);
     }
   }
-  for (auto& [id, state] : services_) {
-    if (!state.runner->queue().Empty()) {
-      state.runner->Pump(now);
+  for (size_t i = 0; i < touched_.size(); ++i) {
+    if (ServiceRunner* runner = RunnerOf(touched_[i])) {
+      Pump(*runner, now);
     }
   }
+  touched_.clear();
+}
+
+void RequestPlane::Impl::Pump(ServiceRunner& runner, TimePoint now) {
+  if (!runner.queue().Empty()) {
+    runner.Pump(now);
+  }
+  runner.ServeBorrowers(now);
 }
 
 void RequestPlane::Impl::TickSlots(TimePoint now) {
   for (auto& [id, state] : services_) {
     state.runner->CheckLease(now);
+    state.runner->TickLoans(now);
     const auto report = state.runner->ledger().TakeReport(
         state.runner->Demand(draining_, now), now);
     if (report.has_value()) {
@@ -379,6 +457,9 @@
     }
   }
   Settle(now);
+  for (auto& [id, state] : services_) {
+    Pump(*state.runner, now);
+  }
   if (requests_.empty() && idle_since_ == TimePoint{}) {
     idle_since_ = now;
   }
