Close gaps in truth and bounds of the request path

- A request on an idle connection that the target had just closed was written and counted as one that may have run.
The session now reads before it writes a new stream, so such a request is not sent and can be retried.
- nghttp2 ends a server connection after 1000 resets and 33 a second; callers that cancel many requests of one connection in an overload lost the others.
The limit is 5000 and 500 a second.
- A request that waited for a connection was sent after its deadline or after its target began to drain.
Both are reported as not run instead.
- New requests are refused (overload, not run) while 256 MB are buffered.
- A 431 answer carries x-refusal-reason.

The test of late streams opens its stream before the stop, since a client now sees a GOAWAY that is already there before it writes. RunUntil is bounded by time: with session timers running, it did not end a failing test before.

--- a/src/net/http2_io.cc
+++ b/src/net/http2_io.cc
@@ -52,6 +52,14 @@
   if (closed_ || waiting_writable_) {
     return;
   }
+  // A peer that closed an idle connection is noticed before a new request is
+  // written to it: such a request certainly did not run.
+  if (opened_) {
+    opened_ = false;
+    if (!ReadAvailable() || closed_ || waiting_writable_) {
+      return;
+    }
+  }
   const uint64_t stop = produced_ + kOutputTurn;
   while (FillOutput() && output_pos_ < output_.size()) {
     if (!WriteOutput()) {
@@ -149,6 +157,16 @@
 }
 
 void Http2SessionImpl::OnReadable() {
+  if (!ReadAvailable()) {
+    return;
+  }
+  Flush();
+  if (socket_.is_open()) {
+    WaitReadable();
+  }
+}
+
+bool Http2SessionImpl::ReadAvailable() {
   for (int i = 0; i < kReadTurn; ++i) {
     std::error_code ec;
     const size_t n = socket_.read_some(asio::buffer(read_buffer), ec);
@@ -158,7 +176,7 @@
     if (ec || n == 0) {
       Fail();
       CloseSocket();
-      return;
+      return false;
     }
     if (closed_) {
       continue;  // lingering: discard until the peer closes
@@ -174,10 +192,7 @@
       break;
     }
   }
-  Flush();
-  if (socket_.is_open()) {
-    WaitReadable();
-  }
+  return true;
 }
 
 void Http2SessionImpl::ArmTimer() {
--- a/src/net/http2_session.cc
+++ b/src/net/http2_session.cc
@@ -56,6 +56,10 @@
   // Window updates follow Consume().
   nghttp2_option_set_no_auto_window_update(option, 1);
   nghttp2_option_set_no_closed_streams(option, 1);
+  // Streams that a client may reset: at once, and a second. nghttp2's own 1000
+  // and 33 end the connection of a caller that multiplexes many requests and
+  // cancels those past their deadline during an overload.
+  nghttp2_option_set_stream_reset_rate_limit(option, 5000, 500);
   nghttp2_session_callbacks* callbacks = Callbacks();
   if (role_ == Http2Role::kServer) {
     nghttp2_session_server_new2(&session_, callbacks, this, option);
@@ -111,6 +115,7 @@
   stream.last_progress = SteadyNow();
   last_stream_ = stream.last_progress;
   counters_->streams_opened++;
+  opened_ = true;
   ScheduleFlush();
   return id;
 }
--- a/src/net/http2_session_impl.h
+++ b/src/net/http2_session_impl.h
@@ -143,6 +143,8 @@
   bool WriteOutput();
   void WaitReadable();
   void OnReadable();
+  // Reads what is there. False when the connection has ended.
+  bool ReadAvailable();
   void WaitWritable();
   void ArmTimer();
   void OnTimer();
@@ -176,6 +178,8 @@
   std::vector<std::pair<int32_t, size_t>> framed_;
 
   bool flush_posted_ = false;
+  // Client: streams were opened since the last flush.
+  bool opened_ = false;
   bool waiting_writable_ = false;
   bool draining_ = false;
   bool shutdown_noticed_ = false;
--- a/src/net/request_path.cc
+++ b/src/net/request_path.cc
@@ -215,6 +215,7 @@
       session->Respond(stream,
                        {{":status", "431"},
                         {"x-verdict", "not-run"},
+                        {"x-refusal-reason", "head-too-large"},
                         {"content-length", "0"}},
                        true);
       refused_early_++;
@@ -225,6 +226,11 @@
       refusal.retry_after = std::chrono::seconds(1);
       return RefuseEarly(session, stream, refusal);
     }
+    if (caller_counters_->buffered + target_counters_->buffered >
+        options_.max_buffered_bytes) {
+      refusal.retry_after = std::chrono::seconds(1);
+      return RefuseEarly(session, stream, refusal);
+    }
     auto info =
         MatchRequest(*view_->deployment, head,
                      session->peer().address.ToString(), options_.replay_bytes);
--- a/src/net/request_path.h
+++ b/src/net/request_path.h
@@ -34,13 +34,18 @@
   request::RequestPlaneOptions core;
 
   Http2Limits caller_limits;
-  Http2Limits target_limits;
+  // The session window leaves room for many stalled answers beside a live one.
+  Http2Limits target_limits{.session_window = uint32_t{16} << 20};
   // Callers' connections at once; above it, new ones are closed at once.
   size_t max_connections = 20000;
   // Connections to one target. Requests share a connection only when all of
   // them are in use, so that a long body does not hold up a short one.
   size_t connections_per_target = 8;
   Duration connect_timeout = std::chrono::milliseconds(1000);
+  // New requests are refused (overload, not run) while bodies and answers of
+  // this size are buffered over all connections, so that callers that read
+  // nothing cannot use up the memory.
+  size_t max_buffered_bytes = size_t{256} << 20;
   // Request bodies up to this size are kept until the request ends, so that it
   // can be sent again.
   size_t replay_bytes = size_t{64} * 1024;
--- a/src/net/request_path_exchange.cc
+++ b/src/net/request_path_exchange.cc
@@ -103,7 +103,7 @@
   auto attempt = std::make_shared<Attempt>();
   attempt->number = number;
   attempt->target = target.id;
-  attempt->deadline = deadline;
+  attempt->deadline = SteadyNow() + deadline;
   attempts_.push_back(attempt);
   if (!CallerWaits() || winner_ || body_dropped_) {
     EndAttempt(attempt, AttemptOutcome::kNotRun);
@@ -121,15 +121,18 @@
   if (attempt->ended) {
     return;
   }
-  // Another attempt may have streamed the body away while this one waited.
-  if (!session || winner_ || body_dropped_ || !CallerWaits()) {
+  // While it waited, the deadline may have passed (a paused process sends
+  // nothing late), or another attempt may have streamed the body away.
+  const Duration left = attempt->deadline - SteadyNow();
+  if (!session || winner_ || body_dropped_ || !CallerWaits() ||
+      left <= Duration::zero()) {
     EndAttempt(attempt, AttemptOutcome::kNotRun);
     return;
   }
   const bool no_body = body_ended_ && body_.empty() && trailers_.empty();
   attempt->session = session;
-  attempt->stream = session->Open(TargetHead(head_, attempt->deadline), no_body,
-                                  TargetHooks(attempt));
+  attempt->stream =
+      session->Open(TargetHead(head_, left), no_body, TargetHooks(attempt));
   if (attempt->stream == 0) {
     EndAttempt(attempt, AttemptOutcome::kNotRun);
     return;
--- a/src/net/request_path_exchange.h
+++ b/src/net/request_path_exchange.h
@@ -57,7 +57,7 @@
   struct Attempt {
     uint32_t number = 0;
     TargetId target = TargetId::kNone;
-    Duration deadline{0};
+    TimePoint deadline;
     uint64_t ticket = 0;
     Http2SessionPtr session;
     int32_t stream = 0;
--- a/src/net/request_path_pool.cc
+++ b/src/net/request_path_pool.cc
@@ -168,7 +168,7 @@
   const auto waiters = std::move(entry.waiters);
   entry.waiters.clear();
   for (const Waiter& it : waiters) {
-    it.done(nullptr, "the target's address changed");
+    it.done(nullptr, "the target is leaving or has moved");
   }
 }
 
@@ -176,6 +176,9 @@
   std::map<TargetId, Endpoint> known;
   for (const config::Service& service : deployment.services) {
     for (const config::Target& target : service.targets) {
+      if (target.state == config::TargetState::kDraining) {
+        continue;
+      }
       known[target.id] = target.request_endpoint;
     }
   }
--- a/src/net/request_path_pool.h
+++ b/src/net/request_path_pool.h
@@ -46,7 +46,8 @@
   // A stream to the target ended; one that waits may go on.
   void StreamEnded(TargetId target);
   // Ends the connections to targets that the deployment no longer has at the
-  // same endpoint. Their open streams finish.
+  // same endpoint, or that are draining. Their open streams finish; what waits
+  // for a connection to them is not sent.
   void Retain(const config::Deployment& deployment);
   // Ends all connections gracefully.
   void Shutdown();
--- a/tests/net/http2_session_test.cc
+++ b/tests/net/http2_session_test.cc
@@ -236,6 +236,46 @@
   EXPECT_EQ(client->Open(Get("/"), true, {}), 0);
 }
 
+// A target that closed an idle connection just before a request: the request
+// must not count as one that may have run.
+TEST_F(Http2SessionTest, RequestOnAConnectionThatThePeerClosedIsNotSent) {
+  RawServer server(io_);
+  const auto client = Connect(server.local());
+  ASSERT_TRUE(RunUntil(io_, [&] { return server.accepted == 1; }));
+  Settle(io_, 5);
+  // Closes without running the loop, so that the session has not seen it.
+  server.last->Close();
+  auto seen = std::make_shared<Seen>();
+  ASSERT_GT(client->Open(Get("/"), true, Record(seen)), 0);
+  ASSERT_TRUE(RunUntil(io_, [&] { return seen->closes > 0; }));
+  EXPECT_EQ(seen->end, StreamEnd::kNotSent);
+}
+
+// An overload makes a caller cancel many streams of one connection; the others
+// must not lose it.
+TEST_F(Http2SessionTest, ManyCancelledStreamsKeepTheConnection) {
+  on_request_ = [](const Http2SessionPtr& session, int32_t stream,
+                   const MessageHead& head) {
+    if (FieldOf(head.fields, ":path") == "/last") {
+      session->Respond(stream, {{":status", "200"}}, true);
+    }
+    return StreamHooks{};
+  };
+  StartServer();
+  const auto client = Connect(listener_->local());
+  for (int i = 1; i <= 3000; ++i) {
+    const int32_t id = client->Open(Get("/"), true, {});
+    ASSERT_GT(id, 0);
+    ASSERT_TRUE(RunUntil(io_, [&] { return requests_ == i; }));
+    client->Reset(id, kHttp2Cancel);
+    ASSERT_TRUE(RunUntil(io_, [&] { return client->open_streams() == 0; }));
+  }
+  auto seen = std::make_shared<Seen>();
+  client->Open(Get("/last"), true, Record(seen));
+  ASSERT_TRUE(RunUntil(io_, [&] { return seen->closes > 0; }));
+  EXPECT_EQ(seen->end, StreamEnd::kComplete);
+}
+
 TEST_F(Http2SessionTest, ResetReachesThePeer) {
   auto seen = std::make_shared<Seen>();
   on_request_ = [&](const Http2SessionPtr&, int32_t, const MessageHead&) {
@@ -265,8 +305,10 @@
   auto late = std::make_shared<Seen>();
   client->Open(Get("/1"), true, Record(first));
   ASSERT_TRUE(RunUntil(io_, [&] { return held.size() == 1; }));
-  listener_->Shutdown();
+  // On its way when the server decides to stop; the client writes it before it
+  // can see the GOAWAY.
   client->Open(Get("/2"), true, Record(late));
+  listener_->Shutdown();
   ASSERT_TRUE(RunUntil(io_, [&] { return held.size() == 2 && draining_; }));
   EXPECT_FALSE(client->CanOpen());
   for (const auto& [session, stream] : held) {
--- a/tests/net/http2_test_util.h
+++ b/tests/net/http2_test_util.h
@@ -24,17 +24,16 @@
   return {IpAddress::FromV4(0x7f000001), port};
 }
 
-// Runs the loop until `done` holds. False after ten seconds of silence, which
-// only a failing test reaches.
+// Runs the loop until `done` holds. False after twenty seconds, which only a
+// failing test reaches.
 inline bool RunUntil(asio::io_context& io, const std::function<bool()>& done) {
-  for (int i = 0; i < 2'000'000; ++i) {
+  const TimePoint end = SteadyNow() + std::chrono::seconds(20);
+  while (SteadyNow() < end) {
     if (done()) {
       return true;
     }
     io.restart();
-    if (io.run_one_for(std::chrono::seconds(10)) == 0) {
-      break;
-    }
+    io.run_one_for(std::chrono::seconds(1));
   }
   return done();
 }
--- a/tests/net/request_path_test.cc
+++ b/tests/net/request_path_test.cc
@@ -343,10 +343,57 @@
   StartPath(target_->local());
   HeaderFields head = Get("/");
   head.emplace_back("x-large", std::string(20'000, 'x'));
-  EXPECT_EQ(RefusalOf(Ask(head)), "431 not-run ");
+  EXPECT_EQ(RefusalOf(Ask(head)), "431 not-run head-too-large");
   EXPECT_TRUE(target_heads_.empty());
 }
 
+// A request that waits for a connection when its target starts to drain must
+// not reach the target later.
+TEST_F(RequestPathTest, WaitingRequestIsNotSentToADrainingTarget) {
+  serve_ = [](const Http2SessionPtr&, int32_t) { return StreamHooks{}; };
+  options_.connections_per_target = 1;
+  options_.target_limits.streams = 1;
+  StartTarget();
+  StartPath(target_->local());
+  auto waiting = std::make_shared<Seen>();
+  caller_->Open(Get("/1"), true, {});
+  caller_->Open(Get("/2"), true, Record(waiting));
+  ASSERT_TRUE(RunUntil(io_, [&] {
+    return target_heads_.size() == 1 && core_.requests.size() == 2;
+  }));
+  auto view = std::make_shared<config::ControlView>(*core_.view);
+  auto deployment = std::make_shared<config::Deployment>(*view->deployment);
+  deployment->services[0].targets[0].state = config::TargetState::kDraining;
+  view->deployment = deployment;
+  path_->PostView(view);
+  ASSERT_TRUE(RunUntil(io_, [&] { return waiting->closes > 0; }));
+  EXPECT_EQ(RefusalOf(*waiting), "503 not-run target-failed");
+  EXPECT_EQ(target_heads_.size(), 1u);
+}
+
+// Callers that read nothing must not use up the memory.
+TEST_F(RequestPathTest, NewRequestsAreRefusedWhileTooMuchIsBuffered) {
+  serve_ = [](const Http2SessionPtr& session, int32_t stream) {
+    session->Respond(stream, {{":status", "200"}}, false);
+    session->Write(stream, std::string(size_t{1} << 20, 'x'));
+    session->Finish(stream);
+    return StreamHooks{};
+  };
+  options_.max_buffered_bytes = size_t{100} << 10;
+  StartTarget();
+  StartPath(target_->local());
+  auto slow = std::make_shared<Seen>();
+  const int32_t id = caller_->Open(Get("/"), true, Record(slow));
+  ASSERT_TRUE(RunUntil(io_, [&] {
+    return path_->Snapshot().callers.buffered > options_.max_buffered_bytes;
+  }));
+  EXPECT_EQ(RefusalOf(Ask(Get("/"))), "503 not-run overload");
+  caller_->Reset(id, kHttp2Cancel);
+  ASSERT_TRUE(
+      RunUntil(io_, [&] { return path_->Snapshot().callers.buffered == 0; }));
+  EXPECT_EQ(target_heads_.size(), 1u);
+}
+
 TEST_F(RequestPathTest, ConnectionsToATargetAreBounded) {
   std::vector<std::pair<Http2SessionPtr, int32_t>> held;
   serve_ = [&](const Http2SessionPtr& session, int32_t stream) {
