Report attempts in progress per target

Plans show what a drain touches, so RequestStats gives the attempts in progress at each target. They are counted once a second from the open requests.

--- a/src/net/request_path.cc
+++ b/src/net/request_path.cc
@@ -302,8 +302,19 @@
     stats.open_requests = exchanges_.size();
     stats.refused_early = refused_early_;
     stats.answers_cut = answers_cut_;
+    const TimePoint now = SteadyNow();
+    const bool count = now - counted_at_ >= kCountInterval;
+    if (count) {
+      counted_at_ = now;
+      for (const auto& [id, it] : exchanges_) {
+        it->CountAttempts(stats.in_progress);
+      }
+    }
     const std::lock_guard<std::mutex> lock(stats_mutex_);
-    stats_ = stats;
+    if (!count) {
+      stats.in_progress = std::move(stats_.in_progress);
+    }
+    stats_ = std::move(stats);
   }
 
   asio::io_context& io_;
@@ -326,6 +337,9 @@
   RequestId last_id_ = 0;
   uint64_t refused_early_ = 0;
   uint64_t answers_cut_ = 0;
+  // Counting visits every open request, so it is not done each tick.
+  static constexpr Duration kCountInterval = std::chrono::seconds(1);
+  TimePoint counted_at_;
   bool stopping_ = false;
   bool closed_ = false;
   TimePoint stop_at_;
--- a/src/net/request_path.h
+++ b/src/net/request_path.h
@@ -5,6 +5,7 @@
 #define MARJORAMHALL_NET_REQUEST_PATH_H_
 
 #include <functional>
+#include <map>
 #include <memory>
 #include <string>
 #include <vector>
@@ -78,6 +79,9 @@
   uint64_t refused_early = 0;
   // Answers cut after their head had gone to the caller.
   uint64_t answers_cut = 0;
+  // Attempts in progress at each target, at most a second old. Targets without
+  // any are left out.
+  std::map<TargetId, uint64_t> in_progress;
 };
 
 class RequestPath {
--- a/src/net/request_path_exchange.cc
+++ b/src/net/request_path_exchange.cc
@@ -363,6 +363,14 @@
   FinishIfDone();
 }
 
+void Exchange::CountAttempts(std::map<TargetId, uint64_t>& counts) const {
+  for (const AttemptPtr& it : attempts_) {
+    if (!it->ended) {
+      counts[it->target]++;
+    }
+  }
+}
+
 void Exchange::Abort() {
   for (const AttemptPtr& it : attempts_) {
     if (!it->ended) {
--- a/src/net/request_path_exchange.h
+++ b/src/net/request_path_exchange.h
@@ -6,6 +6,7 @@
 #define MARJORAMHALL_NET_REQUEST_PATH_EXCHANGE_H_
 
 #include <functional>
+#include <map>
 #include <memory>
 #include <string>
 #include <vector>
@@ -50,6 +51,8 @@
   void CancelAttempt(uint32_t attempt);
   void Refuse(const request::Refusal& refusal);
   void Replay(const request::StoredAnswer& answer);
+  // Adds the attempts that have not ended, by target.
+  void CountAttempts(std::map<TargetId, uint64_t>& counts) const;
   // Cuts the request at both ends without telling the core.
   void Abort();
 
--- a/tests/net/request_path_test.cc
+++ b/tests/net/request_path_test.cc
@@ -292,6 +292,10 @@
   caller_->Open(Get("/1"), true, Record(running));
   ASSERT_TRUE(RunUntil(io_, [&] { return held.size() == 1; }));
   bool stopped = false;
+  ASSERT_TRUE(RunUntil(io_, [&] {
+    return path_->Snapshot().in_progress ==
+           std::map<TargetId, uint64_t>{{TargetId{1}, 1}};
+  }));
   path_->PostStop([&] { stopped = true; });
   caller_->Open(Get("/2"), true, Record(late));
   ASSERT_TRUE(RunUntil(io_, [&] { return late->closes > 0; }));
