--- a/lab/main.cc
+++ b/lab/main.cc
@@ -8,7 +8,10 @@
 #include <vector>
 
 #include "lab/http_commands.h"
+#include "lab/flow_baselines.h"
 #include "lab/ports.h"
+#include "lab/store_commands.h"
+#include "lab/request_experiment.h"
 
 namespace {
 
@@ -20,11 +23,17 @@
 
 const std::vector<Command>& Commands() {
   static const std::vector<Command> kCommands = {
+      {"flow-experiment", "compare flow routing designs in virtual time",
+       marjoramhall::lab::RunFlowExperiment},
       {"ports", "print N free loopback ports", marjoramhall::lab::RunPorts},
+      {"store", "stand-in for the platform's store",
+       marjoramhall::lab::RunStore},
       {"http-targets", "run stand-in targets",
        marjoramhall::lab::RunHttpTargets},
       {"http-load", "send requests and check the answers",
        marjoramhall::lab::RunHttpLoad},
+      {"request-experiment", "compare request policies in virtual time",
+       marjoramhall::lab::RunRequestExperiment},
   };
   return kCommands;
 }
--- a/src/request/key_claims.cc
+++ b/src/request/key_claims.cc
@@ -14,6 +14,9 @@
 using std::chrono::milliseconds;
 
 constexpr Duration kScanInterval = milliseconds(20);
+// An answer takes four hops of about 0.5 ms; messages to a peer are lost most
+// often when the connection to it is new.
+constexpr Duration kFirstClaimWait = milliseconds(20);
 constexpr Duration kFirstOutcomeWait = milliseconds(100);
 constexpr Duration kLongestOutcomeWait = std::chrono::seconds(2);
 // A claim that no owner answers is refused after this time, or at the request's
@@ -48,7 +51,9 @@
 }
 
 void KeyClaims::SendClaim(RequestId id, Claim& claim, TimePoint now) {
-  claim.resend_at = now + options_.claim_resend;
+  claim.wait =
+      std::clamp(claim.wait * 2, kFirstClaimWait, options_.claim_resend);
+  claim.resend_at = now + claim.wait;
   const VmId owner = OwnerOf(claim.name);
   if (owner == VmId::kNone) {
     hooks_.owner_unknown();
@@ -61,6 +66,7 @@
           out->mutable_claim());
   out->set_fingerprint(claim.fingerprint);
   out->set_first_attempt(claim.first_attempt);
+  out->set_open_gap(claim.open_gap);
   context_.send(owner, message);
 }
 
@@ -74,6 +80,7 @@
   claim.name = std::move(name);
   claim.fingerprint = fingerprint;
   claim.first_attempt = first_attempt;
+  claim.open_gap = context_.ranges[RangeOf(claim.name)].known_open_gap;
   claim.started_at = now;
   claim.expires_at = now + ttl;
   SendClaim(id, claim, now);
@@ -116,6 +123,10 @@
     return;
   }
   const RequestId id = claim_id.request;
+  if (reply.open_gap() != 0) {
+    context_.ranges[RangeOf(FromProto(reply.name()))].known_open_gap =
+        reply.open_gap();
+  }
   if (reply.has_record()) {
     hooks_.learn(reply, now);
   }
@@ -160,9 +171,15 @@
 
 Refusal KeyClaims::WhyWaiting(RequestId id) const {
   const auto it = claims_.find(id);
-  return it != claims_.end() && it->second.busy
-             ? MayHaveRun(RefusalReason::kKeyInUse)
-             : NotRun(RefusalReason::kKeyOwnerUnreachable);
+  if (it != claims_.end() && it->second.busy) {
+    return MayHaveRun(RefusalReason::kKeyInUse);
+  }
+  Refusal refusal = NotRun(RefusalReason::kKeyOwnerUnreachable);
+  if (it != claims_.end() && !it->second.first_attempt) {
+    // Nobody could say what became of earlier submissions.
+    refusal.verdict = Verdict::kMayHaveRun;
+  }
+  return refusal;
 }
 
 void KeyClaims::Finish(RequestId id,
--- a/src/request/request_options.h
+++ b/src/request/request_options.h
@@ -13,8 +13,9 @@
   size_t max_queue = 4096;
   // Live requests of this VM over all services.
   size_t max_requests = 65536;
-  // Share of a VM's slots that long work may not take.
-  double reserved_short = 0.25;
+  // Long work may not take the slots that short work needs on average, nor this
+  // share of the others.
+  double reserved_short = 0.15;
   // Retries per first attempt.
   double retry_ratio = 0.1;
 
@@ -31,7 +32,7 @@
   Duration key_retention = std::chrono::seconds(600);
   size_t max_keys = 100000;
   size_t max_answer_bytes = size_t{32} << 20;
-  // An owner that has lost sight of a VM grants no claim when the store has not
+  // An owner that misses a VM grants no claim when the store has not
   // confirmed its ownership for this long.
   Duration ownership_confirm = std::chrono::seconds(300);
   Duration claim_resend = std::chrono::milliseconds(100);
