--- a/src/app/plan_text.cc
+++ b/src/app/plan_text.cc
@@ -30,14 +30,15 @@
   return json.at(key).get<uint64_t>();
 }
 
-std::string EffectText(const Json& it) {
+std::string EffectText(const Json& it, bool complete) {
   return fmt::format(
       "service {}: {:.1f}% of new flows move ({} of 4096 buckets)\n"
-      "  {} flows and {} requests at draining targets end undisturbed; "
+      "  {}{} flows and {} requests at draining targets end undisturbed; "
       "none are cut\n"
       "  slots {} -> {}, {} in use\n",
       Text(it, "service"), it.at("moved_share").get<double>() * 100,
-      Number(it, "moved_buckets"), Number(it, "flows_at_draining_targets"),
+      Number(it, "moved_buckets"), complete ? "" : "at least ",
+      Number(it, "flows_at_draining_targets"),
       Number(it, "requests_at_draining_targets"), Number(it, "slots_before"),
       Number(it, "slots_after"), Number(it, "slots_in_use"));
 }
@@ -55,7 +56,7 @@
                   Text(it, "name"), Text(it, "domain"), Text(it, "state"),
                   Number(it, "weight"), Number(it, "slots"));
   if (it.contains("flows")) {
-    text += fmt::format(" flows {:<7} requests {}", Number(it, "flows"),
+    text += fmt::format("  flows {:<7} requests {}", Number(it, "flows"),
                         Number(it, "requests"));
   }
   return text + "\n";
@@ -80,7 +81,7 @@
       }
     }
     for (const Json& it : json.at("services")) {
-      text += EffectText(it);
+      text += EffectText(it, json.at("counts_complete").get<bool>());
     }
     for (const Json& it : json.at("warnings")) {
       text += "warning: " + Text(it, "text") + "\n";
--- a/src/control/intent_json.cc
+++ b/src/control/intent_json.cc
@@ -1,6 +1,7 @@
 // Reads requests and writes answers of the intent API.
 #include "src/control/intent_json.h"
 
+#include <algorithm>
 #include <cmath>
 
 namespace marjoramhall::control {
@@ -14,6 +15,13 @@
 constexpr size_t kLongestReason = 200;
 constexpr double kBuckets = 4096;  // of a service's flow placement
 
+bool IsComplete(const Plan& plan) {
+  return std::none_of(plan.warnings.begin(), plan.warnings.end(),
+                      [](const Warning& it) {
+                        return it.kind == PlanWarning::kCountsIncomplete;
+                      });
+}
+
 Json EffectToJson(const ServiceEffect& it) {
   return {{"service", it.service},
           {"moved_share", std::round(it.moved_share * 10000) / 10000},
@@ -121,6 +129,7 @@
                {"removals", plan.removals},
                {"services", Json::array()},
                {"warnings", Json::array()},
+               {"counts_complete", IsComplete(plan)},
                {"document",
                 {{"payload", signed_document.payload},
                  {"signature", signed_document.signature}}}};
--- a/src/control/intent_plan.cc
+++ b/src/control/intent_plan.cc
@@ -149,6 +149,12 @@
                                " flows and " + std::to_string(load.requests) +
                                " requests; wait until they end");
     }
+    if (!load_ || !load_->complete) {
+      Warn(PlanWarning::kCountsIncomplete, target.name,
+           "target " + target.name +
+               " may have flows at VMs that are not counted; its removal "
+               "would cut them");
+    }
   }
 
   void WarnOfService(const Service* before,
--- a/tests/control/intent_service_test.cc
+++ b/tests/control/intent_service_test.cc
@@ -135,7 +135,10 @@
   const auto refused = PlanOf(world, 0, removal);
   EXPECT_NE(refused["reasons"][0].get<std::string>().find("cut 3 flows"),
             std::string::npos);
-  world.load->targets.clear();
+  world.load.reset();
+  const auto unknown = PlanOf(world, 0, removal);
+  EXPECT_EQ(unknown["warnings"][0]["code"], "counts-incomplete long-0");
+  world.load = LoadView{{}, true};
   const auto plan = PlanOf(world, 0, removal);
   EXPECT_EQ(ConfirmAt(world, 0, plan)["outcome"], "ok");
   EXPECT_EQ(world.head().released.size(), 2U);
