Keep a reserve for flow messages under request traffic

Urgent messages are debited from the byte budget and could hold up flow messages for ever when they alone exceed it; flow leases would lapse.

--- a/src/net/peer_transport.cc
+++ b/src/net/peer_transport.cc
@@ -43,9 +43,11 @@
         io(io_context),
         poll_timer(io_context),
         pacer(options.bytes_per_second,
+              options.bytes_per_second / 2,
               options.burst_bytes,
               options.queue_bytes),
         bulk_pacer(options.bulk_bytes_per_second,
+                   0,
                    options.bulk_bytes_per_second,
                    options.queue_bytes) {}
 
--- a/src/net/peer_transport.h
+++ b/src/net/peer_transport.h
@@ -28,7 +28,8 @@
   // Shared secret of all VMs of the deployment. Never logged.
   std::string key;
   // Budget of all control traffic. Membership, request and small configuration
-  // messages are sent at once and debited; flow messages wait for what is left.
+  // messages are sent at once and debited; flow messages wait for what is left,
+  // at least half of it.
   uint64_t bytes_per_second = 4096;
   uint64_t burst_bytes = 4096;
   // Full copies of the configuration for VMs that start. 300 starts a day in a
