Recover a range whose owner took over without the store and died

Change: a VM that names an older record is told the newer one, and take-overs propose the epoch after the one that the store holds.

--- a/src/request/key_claims.cc
+++ b/src/request/key_claims.cc
@@ -128,7 +128,7 @@
         reply.open_gap();
   }
   if (reply.has_record()) {
-    hooks_.learn(reply, now);
+    hooks_.learn(from, reply, now);
   }
   if (reply.result() == KeyReply::GRANTED) {
     OnGranted(id, from, reply, now);
--- a/src/request/key_claims.h
+++ b/src/request/key_claims.h
@@ -27,8 +27,9 @@
   std::function<void(RequestId, const Refusal&, TimePoint now)> refused;
   // No VM is known that could own the key's range.
   std::function<void()> owner_unknown;
-  // A peer named a newer record of a range.
-  std::function<void(const protocol::KeyReply&, TimePoint now)> learn;
+  // A peer named the newest record that it knows of a range.
+  std::function<void(VmId from, const protocol::KeyReply&, TimePoint now)>
+      learn;
 };
 
 class KeyClaims {
--- a/src/request/key_range_state.h
+++ b/src/request/key_range_state.h
@@ -29,6 +29,9 @@
   // The role of this process. A record that names this VM gives no role when an
   // earlier process of the VM held it, since its keys are gone.
   RangeRole role = RangeRole::kNone;
+  // Newest epoch that the store is known to hold. Below the record's epoch when
+  // the owner took over without the store.
+  uint64_t store_epoch = 0;
 
   // Owner.
   BackupSync sync = BackupSync::kAlone;
--- a/src/request/range_keeper.cc
+++ b/src/request/range_keeper.cc
@@ -185,7 +185,12 @@
   RangeState& range = context_.ranges[record.range];
   const bool newer = record.epoch > range.record.epoch;
   const bool same = record.epoch == range.record.epoch;
-  if (record == range.record) {
+  const bool mine = record.owner == context_.self &&
+                    proposed_epochs_[record.range] == record.epoch;
+  if (from_store) {
+    range.store_epoch = std::max(range.store_epoch, record.epoch);
+  }
+  if (record == range.record && (!mine || range.role == RangeRole::kOwner)) {
     range.recorded |= from_store;
     return;
   }
@@ -201,8 +206,6 @@
   if (!newer && !(same && from_store)) {
     return;
   }
-  const bool mine = record.owner == context_.self &&
-                    proposed_epochs_[record.range] == record.epoch;
   if (mine) {
     BecomeOwner(record.range, record, now);
   } else {
@@ -251,6 +254,10 @@
     }
     Accept(record, false, now);
     RangeState& range = context_.ranges[record.range];
+    if (record.epoch < range.record.epoch && from != context_.self) {
+      // For example a new process of an owner that took over without the store.
+      announcements_[from].insert(record.range);
+    }
     if (i < announce.open_gaps_size() && announce.open_gaps(i) != 0) {
       range.known_open_gap = announce.open_gaps(i);
     }
@@ -389,7 +396,8 @@
   const VmId self = context_.self;
   const VmId owner = range.record.owner;
   const VmId backup = range.record.backup;
-  *out = {index, range.record.epoch + 1, self, PickBackup(index)};
+  *out = {index, std::min(range.record.epoch, range.store_epoch) + 1, self,
+          PickBackup(index)};
   if (owner != self && context_.MemberOf(owner) != nullptr) {
     range.owner_absent_since = TimePoint{};
   } else if (range.owner_absent_since == TimePoint{}) {
--- a/src/request/request_plane.cc
+++ b/src/request/request_plane.cc
@@ -65,11 +65,11 @@
     }
   };
   hooks.owner_unknown = [this] { range_keeper_.WantRead(); };
-  hooks.learn = [this](const protocol::KeyReply& reply, TimePoint now) {
+  hooks.learn = [this](VmId from, const protocol::KeyReply& reply,
+                       TimePoint now) {
     protocol::RangesAnnounce announce;
     *announce.add_records() = reply.record();
-    // The replier speaks of the record only, not of its own role.
-    range_keeper_.OnAnnounce(VmId::kNone, announce, now);
+    range_keeper_.OnAnnounce(from, announce, now);
   };
   return hooks;
 }
