Fix the allocator that asio uses in all translation units

Cause: ASan found memory allocated with operator new and freed with free(): asio chooses by which standard headers come before it. Change: ASIO_DISABLE_STD_ALIGNED_ALLOC for the whole build.

--- a/cmake/packages.cmake
+++ b/cmake/packages.cmake
@@ -7,6 +7,9 @@
 target_include_directories(marjoramhall_flags INTERFACE ${PROJECT_SOURCE_DIR})
 target_compile_definitions(marjoramhall_flags INTERFACE ASIO_STANDALONE
                            ASIO_NO_DEPRECATED
+                           # Otherwise the allocator that asio picks depends on which
+                           # headers precede it, and memory is freed by another one.
+                           ASIO_DISABLE_STD_ALIGNED_ALLOC
                            MARJORAMHALL_VERSION="${PROJECT_VERSION}")
 
 # marjoramhall_library(NAME LINKED...): library marjoramhall_NAME from src/NAME
