--- a/lab/flow_load.h
+++ b/lab/flow_load.h
@@ -28,8 +28,6 @@
   Duration duration = std::chrono::seconds(10);
   Duration interval = std::chrono::milliseconds(500);
   Duration lifetime{0};
-  // Flow planes to start in this process, instead of VMs elsewhere.
-  size_t local_vms = 0;
   size_t size = 64;
   uint64_t seed = 1;
 };
@@ -65,8 +63,6 @@
   std::string Open();
   // Bound endpoints of a service's targets, for ports chosen by the system.
   std::vector<Endpoint> TargetEndpoints(size_t service) const;
-  // Adds a VM to spray packets to; before Run().
-  void AddVm(const Endpoint& fabric) { options_.vms.push_back(fabric); }
   // Runs until the duration has passed or `stop` becomes true.
   FlowLoadResult Run(const volatile bool& stop);
 
--- a/lab/flow_load_command.cc
+++ b/lab/flow_load_command.cc
@@ -8,7 +8,6 @@
 
 #include "lab/flow_commands.h"
 #include "lab/flow_load.h"
-#include "lab/flow_site.h"
 
 namespace marjoramhall::lab {
 namespace {
@@ -44,7 +43,7 @@
   argv.insert(argv.begin(), "flow-load");
   TCLAP::CmdLine line("Opens flows through VMs and checks where they arrive.");
   line.setExceptionHandling(false);
-  TCLAP::MultiArg<std::string> vms("", "vm", "fabric address of a VM", false,
+  TCLAP::MultiArg<std::string> vms("", "vm", "fabric address of a VM", true,
                                    "IP:PORT", line);
   TCLAP::MultiArg<std::string> services("", "service",
                                         "flow address and target endpoints",
@@ -61,13 +60,7 @@
                                line);
   TCLAP::ValueArg<uint64_t> seed("", "seed", "random seed", false, 1, "N",
                                  line);
-  TCLAP::ValueArg<size_t> local_vms("", "local-vms",
-                                    "flow planes to start in this process",
-                                    false, 0, "N", line);
   line.parse(argv);
-  if (vms.getValue().empty() == (local_vms.getValue() == 0)) {
-    throw TCLAP::ArgException("give either --vm or --local-vms");
-  }
   FlowLoadOptions options;
   for (const std::string& it : vms.getValue()) {
     options.vms.push_back(ParseEndpoint(it));
@@ -89,7 +82,6 @@
   options.lifetime = std::chrono::milliseconds(lifetime.getValue());
   options.size = size.getValue();
   options.seed = seed.getValue();
-  options.local_vms = local_vms.getValue();
   return options;
 }
 
@@ -136,27 +128,12 @@
 
 int RunFlowLoad(std::span<const std::string> args) {
   try {
-    const FlowLoadOptions options = ParseOptions(args);
-    FlowLoad load(options);
-    FlowSite site(options.local_vms);
-    std::string error = load.Open();
-    if (error.empty()) {
-      error = site.error();
-    }
+    FlowLoad load(ParseOptions(args));
+    const std::string error = load.Open();
     if (!error.empty()) {
       std::fprintf(stderr, "flow-load: %s\n", error.c_str());
       return 2;
     }
-    std::vector<FlowLoadService> services = options.services;
-    for (size_t i = 0; i < services.size(); ++i) {
-      services[i].targets = load.TargetEndpoints(i);
-    }
-    if (options.local_vms > 0) {
-      site.Publish(MakeDeployment(services));
-    }
-    for (const Endpoint& it : site.FabricEndpoints()) {
-      load.AddVm(it);
-    }
     std::signal(SIGTERM, OnSignal);
     std::signal(SIGINT, OnSignal);
     fmt::print("ready\n");
