--- a/src/request/range_keeper.cc
+++ b/src/request/range_keeper.cc
@@ -27,7 +27,6 @@
 // A lost answer of the adapter must not stop the keeper for ever.
 constexpr Duration kCallTimeout = seconds(10);
 constexpr Duration kHintInterval = seconds(1);
-constexpr Duration kHandoverInterval = milliseconds(200);
 constexpr Duration kBalanceInterval = seconds(5);
 constexpr size_t kMovesPerRound = 16;
 
@@ -244,38 +243,6 @@
   }
 }
 
-void RangeKeeper::OnAnnounce(VmId from,
-                             const protocol::RangesAnnounce& announce,
-                             TimePoint now) {
-  for (int i = 0; i < announce.records_size(); ++i) {
-    const KeyRangeRecord record = FromProto(announce.records(i));
-    if (record.range >= kKeyRanges) {
-      continue;
-    }
-    Accept(record, false, now);
-    RangeState& range = context_.ranges[record.range];
-    if (record.epoch < range.record.epoch && from != context_.self) {
-      // For example a new process of an owner that took over without the store.
-      announcements_[from].insert(record.range);
-    }
-    if (i < announce.open_gaps_size() && announce.open_gaps(i) != 0) {
-      range.known_open_gap = announce.open_gaps(i);
-    }
-    if (record != range.record || i >= announce.no_role_size() ||
-        !announce.no_role(i)) {
-      continue;
-    }
-    const bool denied = range.owner_denies;
-    range.owner_denies |= from == record.owner;
-    range.backup_denies |= from == record.backup;
-    if (from == record.owner && !denied && record.backup == context_.self &&
-        range.role == RangeRole::kNone) {
-      // Both processes are new. The owner may act on this at once.
-      announcements_[from].insert(record.range);
-    }
-  }
-}
-
 bool RangeKeeper::NoneHolds(uint32_t index) const {
   const RangeState& range = context_.ranges[index];
   const KeyRangeRecord& record = range.record;
@@ -284,69 +251,6 @@
           range.backup_denies);
 }
 
-void RangeKeeper::AnnounceGaps(TimePoint now) {
-  for (uint32_t i = 0; i < kKeyRanges; ++i) {
-    RangeState& range = context_.ranges[i];
-    if (range.role != RangeRole::kOwner || range.gap_announced ||
-        now < range.gap_opens_at) {
-      continue;
-    }
-    range.gap_announced = true;
-    range.known_open_gap = range.gap_epoch;
-    for (const config::Member& it : context_.view->members) {
-      announcements_[it.id].insert(i);
-    }
-  }
-}
-
-void RangeKeeper::SendAnnouncements(TimePoint now) {
-  for (const auto& [to, ranges] : announcements_) {
-    if (to == context_.self) {
-      continue;
-    }
-    protocol::RequestMessage message;
-    for (const uint32_t it : ranges) {
-      owner_.AddTo(*message.mutable_ranges_announce(), it, now);
-    }
-    context_.send(to, message);
-  }
-  announcements_.clear();
-}
-
-void RangeKeeper::OnHandover(VmId from,
-                             const protocol::RangesHandover& handover,
-                             TimePoint now) {
-  protocol::RequestMessage answer;
-  for (const auto& it : handover.records()) {
-    const KeyRangeRecord record = FromProto(it);
-    if (record.range >= kKeyRanges) {
-      continue;
-    }
-    RangeState& range = context_.ranges[record.range];
-    if (handover.acknowledged()) {
-      if (range.role == RangeRole::kOwner && range.stopped &&
-          record.epoch == range.record.epoch && from == range.record.backup) {
-        context_.decide(record.range, "handed-over");
-        LoseRole(record.range, {record.range, record.epoch + 1, from});
-      }
-      continue;
-    }
-    if (range.role == RangeRole::kBackup && range.complete &&
-        range.record == record && from == record.owner) {
-      TakeOver(record.range, "take-over-by-hand-over", now);
-    }
-    if (range.role == RangeRole::kOwner && range.record.epoch > record.epoch) {
-      *answer.mutable_ranges_handover()->add_records() = it;
-    } else if (range.record.epoch > record.epoch) {
-      owner_.Announce(from, record.range, now);
-    }
-  }
-  if (answer.ranges_handover().records_size() > 0) {
-    answer.mutable_ranges_handover()->set_acknowledged(true);
-    context_.send(from, answer);
-  }
-}
-
 bool RangeKeeper::WantedAsOwner(uint32_t index,
                                 TimePoint now,
                                 KeyRangeRecord* out) {
@@ -477,28 +381,6 @@
   }
 }
 
-void RangeKeeper::SendHandovers(TimePoint now) {
-  if (now - handed_at_ < kHandoverInterval) {
-    return;
-  }
-  handed_at_ = now;
-  std::map<VmId, protocol::RequestMessage> messages;
-  for (RangeState& it : context_.ranges) {
-    if (it.role != RangeRole::kOwner) {
-      continue;
-    }
-    it.stopped |= handing_over_ && it.sync == BackupSync::kSynced;
-    if (it.stopped) {
-      ToProto(
-          it.record,
-          messages[it.record.backup].mutable_ranges_handover()->add_records());
-    }
-  }
-  for (auto& [to, message] : messages) {
-    context_.send(to, message);
-  }
-}
-
 void RangeKeeper::Tick(TimePoint now) {
   if (context_.view == nullptr || now - ticked_at_ < kTickInterval) {
     return;
--- /dev/null
+++ b/src/request/request_messages.cc
@@ -0,0 +1,200 @@
+// Peer messages of the request plane: sending, and passing on to the units.
+#include "src/protocol/request_control.pb.h"
+#include "src/request/request_plane_impl.h"
+
+namespace marjoramhall::request {
+namespace {
+
+using protocol::RequestMessage;
+
+constexpr double kShareUnit = 65535;
+
+}  // namespace
+
+void RequestPlane::Impl::Send(VmId to, RequestMessage& message) {
+  message.set_incarnation(keys_.incarnation);
+  std::string payload = message.SerializeAsString();
+  if (to == keys_.self) {
+    own_messages_.push_back(std::move(payload));
+    return;
+  }
+  ++stats_.peer_messages_sent;
+  stats_.peer_bytes_sent += payload.size();
+  send_(to, PeerChannel::kRequest, std::move(payload));
+}
+
+void RequestPlane::Impl::OnPeerMessage(VmId from,
+                                       std::string_view payload,
+                                       TimePoint now) {
+  range_keeper_.NoteTime(now);
+  now_ = now;
+  RequestMessage message;
+  if (!message.ParseFromArray(payload.data(),
+                              static_cast<int>(payload.size())) ||
+      message.body_case() == RequestMessage::BODY_NOT_SET) {
+    ++stats_.bad_peer_messages;
+    return;
+  }
+  Handle(from, message, now);
+  Settle(now);
+}
+
+void RequestPlane::Impl::Handle(VmId from,
+                                const RequestMessage& message,
+                                TimePoint now) {
+  if (from != keys_.self) {
+    Incarnation& known = keys_.peers[from];
+    if (message.incarnation() < known) {
+      return;  // from a process that has been replaced
+    }
+    if (message.incarnation() > known) {
+      known = message.incarnation();
+      key_owner_.OnPeerRestart(from, now);
+    }
+  }
+  if (!HandleSlots(from, message, now)) {
+    HandleKeys(from, message, now);
+  }
+}
+
+bool RequestPlane::Impl::HandleSlots(VmId from,
+                                     const RequestMessage& message,
+                                     TimePoint now) {
+  switch (message.body_case()) {
+    case RequestMessage::kSlotReport: {
+      const protocol::SlotReport& report = message.slot_report();
+      const auto it = services_.find(static_cast<ServiceId>(report.service()));
+      if (it == services_.end() || it->second.allocator == nullptr) {
+        return true;
+      }
+      if (it->second.allocator->IsOutdatedBy(from, report)) {
+        // Another allocator has granted since; its table must be rebuilt.
+        it->second.allocator = std::make_unique<SlotAllocator>(
+            options_, it->first, report.epoch() + 1, now, lost_member_at_);
+        it->second.allocator->OnView(*view_, it->second.runner->service(), now);
+      }
+      it->second.allocator->OnReport(from, message.incarnation(), report, now);
+      return true;
+    }
+    case RequestMessage::kSlotGrant:
+      OnGrant(from, message.slot_grant(), now);
+      return true;
+    case RequestMessage::kSlotQuery:
+      if (ServiceRunner* runner = RunnerOf(
+              static_cast<ServiceId>(message.slot_query().service()))) {
+        runner->ledger().OnQuery(from);
+      }
+      return true;
+    default:
+      return HandleLoans(from, message, now);
+  }
+}
+
+bool RequestPlane::Impl::HandleLoans(VmId from,
+                                     const RequestMessage& message,
+                                     TimePoint now) {
+  ServiceRunner* runner = nullptr;
+  const auto find = [&](uint32_t service) {
+    runner = RunnerOf(static_cast<ServiceId>(service));
+    return runner != nullptr;
+  };
+  switch (message.body_case()) {
+    case RequestMessage::kSlotBorrow: {
+      const protocol::SlotBorrow& borrow = message.slot_borrow();
+      if (find(borrow.service())) {
+        runner->OnBorrow(from, message.incarnation(), borrow.sequence(), now);
+      }
+      return true;
+    }
+    case RequestMessage::kSlotLend: {
+      const protocol::SlotLend& lend = message.slot_lend();
+      if (find(lend.service())) {
+        Touch(static_cast<ServiceId>(lend.service()));
+        runner->OnLend(from, lend.sequence(),
+                       static_cast<TargetId>(lend.target()), now);
+      }
+      return true;
+    }
+    case RequestMessage::kSlotGiveBack: {
+      const protocol::SlotGiveBack& back = message.slot_give_back();
+      if (find(back.service())) {
+        Touch(static_cast<ServiceId>(back.service()));
+        runner->OnGiveBack(from, message.incarnation(), back.sequence());
+      }
+      return true;
+    }
+    default:
+      return false;
+  }
+}
+
+void RequestPlane::Impl::OnGrant(VmId from,
+                                 const protocol::SlotGrant& grant,
+                                 TimePoint now) {
+  const auto id = static_cast<ServiceId>(grant.service());
+  ServiceRunner* runner = RunnerOf(id);
+  if (runner == nullptr || from != runner->ledger().allocator()) {
+    return;
+  }
+  Touch(id);
+  if (runner->ledger().OnGrant(from, grant, now)) {
+    Decision decision;
+    decision.kind = DecisionKind::kMoveSlots;
+    decision.service = id;
+    decision.vm = keys_.self;
+    decision.subject = runner->ledger().total_limit();
+    decision.outcome = "hold";
+    decide_(decision);
+  }
+  for (int i = 0; i < grant.kind_shares_size(); ++i) {
+    runner->limiter().SetKindShare(static_cast<size_t>(i),
+                                   grant.kind_shares(i) / kShareUnit);
+  }
+  for (const auto& it : grant.callers()) {
+    runner->limiter().SetCallerShare(it.kind(), it.caller(),
+                                     it.share() / kShareUnit);
+  }
+}
+
+void RequestPlane::Impl::HandleKeys(VmId from,
+                                    const RequestMessage& message,
+                                    TimePoint now) {
+  const Incarnation process = message.incarnation();
+  switch (message.body_case()) {
+    case RequestMessage::kKeyClaim:
+      key_owner_.OnClaim(from, message.key_claim(), now);
+      break;
+    case RequestMessage::kKeyReply:
+      key_claims_.OnReply(from, message.key_reply(), now);
+      break;
+    case RequestMessage::kKeyOutcome:
+      key_owner_.OnOutcome(from, message.key_outcome(), now);
+      break;
+    case RequestMessage::kKeyOutcomeAck:
+      key_claims_.OnOutcomeAck(from, message.key_outcome_ack());
+      break;
+    case RequestMessage::kKeyReplica:
+      key_owner_.OnReplica(from, process, message.key_replica(), now);
+      break;
+    case RequestMessage::kKeyReplicaAck:
+      key_owner_.OnReplicaAck(from, message.key_replica_ack(), now);
+      break;
+    case RequestMessage::kRangesSynced:
+      key_owner_.OnSynced(from, process, message.ranges_synced(), now);
+      break;
+    case RequestMessage::kRangesHandover:
+      if (view_ != nullptr) {
+        range_keeper_.OnHandover(from, message.ranges_handover(), now);
+      }
+      break;
+    case RequestMessage::kRangesAnnounce:
+      if (view_ != nullptr) {
+        range_keeper_.OnAnnounce(from, message.ranges_announce(), now);
+      }
+      break;
+    default:
+      ++stats_.bad_peer_messages;
+  }
+}
+
+}  // namespace marjoramhall::request
--- /dev/null
+++ b/tests/request/fake_callers.cc
@@ -0,0 +1,110 @@
+// The callers of the fake fleet and the checks of its invariants.
+#include "tests/request/fake_fleet.h"
+
+namespace marjoramhall::request {
+
+using std::chrono::milliseconds;
+
+void FakeFleet::End(size_t vm, RequestId id, std::string how, Verdict verdict) {
+  const auto it = vms_[vm].subs.find(id);
+  if (it == vms_[vm].subs.end()) {
+    Fail("request ended twice: " + how);
+    return;
+  }
+  Submission& sub = subs_[it->second];
+  vms_[vm].subs.erase(it);
+  ++sub.ends;
+  sub.end = std::move(how);
+  sub.verdict = verdict;
+  if (verdict == Verdict::kNotRun && sub.executed) {
+    Fail("not-run is false for " + sub.key + ": " + sub.end);
+  }
+  if (sub.after) {
+    At(milliseconds(1), sub.after);
+  }
+}
+
+size_t FakeFleet::SubmitOnce(size_t vm,
+                             const std::string& key,
+                             size_t kind,
+                             bool first) {
+  Submission sub;
+  sub.vm = vm;
+  sub.id = vms_[vm].next_id++;
+  // Ids restart with the process, as in a real VM.
+  sub.key = key;
+  const size_t number = subs_.size();
+  vms_[vm].subs[sub.id] = number;
+  subs_.push_back(sub);
+  RequestInfo info;
+  info.id = sub.id;
+  info.service = static_cast<ServiceId>(1);
+  info.kind = kind;
+  info.caller = "caller";
+  info.idempotency_key = key;
+  info.fingerprint = 7;
+  info.declared_first_attempt = first;
+  OnVm(vm, vms_[vm].incarnation,
+       [this, vm, info] { vms_[vm].plane->OnRequest(info, now_); });
+  return number;
+}
+
+void FakeFleet::Submit(size_t vm, const std::string& key, bool first) {
+  SubmitAgain(vm, key, options_.submissions, first,
+              now_ + options_.plane.key_retention * 3 / 4);
+}
+
+void FakeFleet::SubmitAgain(size_t vm,
+                            const std::string& key,
+                            size_t left,
+                            bool first,
+                            TimePoint until) {
+  while (vms_[vm].plane == nullptr) {
+    vm = (vm + 1) % vms_.size();
+  }
+  // Callers of keyed requests submit again after every end but an answer.
+  const size_t number = SubmitOnce(vm, key, key.empty() ? 0 : 1, first);
+  if (key.empty() || left <= 1) {
+    return;
+  }
+  auto again = [this, number, key, left, until] {
+    if (subs_[number].verdict != Verdict::kAnswered || subs_[number].lost) {
+      At(Duration(random_.Below(2000000)), [this, key, left, until] {
+        if (now_ < until) {
+          SubmitAgain(random_.Below(vms_.size()), key, left - 1, false, until);
+        }
+      });
+    }
+  };
+  subs_[number].after = again;
+  // An impatient caller submits again while the first is still running.
+  if (Chance(0.1)) {
+    again();
+  }
+}
+
+void FakeFleet::CheckAtRest() {
+  for (const Submission& it : subs_) {
+    if (!it.lost && it.ends != 1) {
+      Fail("request " + it.key + " ended " + std::to_string(it.ends) +
+           " times");
+    }
+  }
+}
+
+void FakeFleet::CheckSlots() {
+  for (size_t i = 0; i < in_flight_.size(); ++i) {
+    const auto& target = deployment_->services[0].targets[i];
+    if (in_flight_[i] > target.slots + target.queue) {
+      Fail("target " + std::to_string(i) + " has " +
+           std::to_string(in_flight_[i]) + " in flight");
+    }
+  }
+}
+
+size_t FakeFleet::Executions(const std::string& key) const {
+  const auto it = executions_.find(key);
+  return it == executions_.end() ? 0 : it->second;
+}
+
+}  // namespace marjoramhall::request
