Tell a VM that comes back what it owned without the store

Change: a VM that appears in the view, or with a new incarnation, is told the newer records of it that the store is not known to hold.

--- a/src/request/range_keeper.cc
+++ b/src/request/range_keeper.cc
@@ -54,6 +54,7 @@
     first_view_at_ = now;
   }
   members_ = std::move(members);
+  GreetMembers();
   // A VM that leaves by plan is not missed.
   missing_.insert(staying_.begin(), staying_.end());
   staying_.clear();
@@ -69,6 +70,25 @@
   }
 }
 
+void RangeKeeper::GreetMembers() {
+  std::map<VmId, Incarnation> incarnations;
+  for (const config::Member& it : context_.view->members) {
+    incarnations[it.id] = it.incarnation;
+    const auto known = incarnations_.find(it.id);
+    if (known != incarnations_.end() && known->second == it.incarnation) {
+      continue;
+    }
+    for (uint32_t i = 0; i < kKeyRanges; ++i) {
+      const RangeState& range = context_.ranges[i];
+      if (range.record.owner == it.id &&
+          range.record.epoch > range.store_epoch) {
+        announcements_[it.id].insert(i);
+      }
+    }
+  }
+  incarnations_ = std::move(incarnations);
+}
+
 void RangeKeeper::NoteTime(TimePoint now) {
   if (last_event_ != TimePoint{} && now - last_event_ > kPause) {
     disturbed_ = true;
--- a/src/request/range_keeper.h
+++ b/src/request/range_keeper.h
@@ -81,6 +81,8 @@
   void SendHandovers(TimePoint now);
   void CallStore(TimePoint now);
   bool NoneHolds(uint32_t range) const;
+  // Tells a VM that has come (back) what it may have owned without the store.
+  void GreetMembers();
   void AnnounceGaps(TimePoint now);
   void SendAnnouncements(TimePoint now);
 
@@ -114,6 +116,7 @@
   TimePoint viewed_at_{};
   TimePoint first_view_at_{};
   std::set<VmId> members_;
+  std::map<VmId, Incarnation> incarnations_;  // of members_
   TimePoint last_event_{};
   TimePoint ticked_at_{};
   TimePoint handed_at_{};
