--- a/lab/main.cc
+++ b/lab/main.cc
@@ -7,11 +7,12 @@
 #include <string_view>
 #include <vector>
 
-#include "lab/http_commands.h"
 #include "lab/flow_baselines.h"
+#include "lab/flow_commands.h"
+#include "lab/http_commands.h"
 #include "lab/ports.h"
-#include "lab/store_commands.h"
 #include "lab/request_experiment.h"
+#include "lab/store_commands.h"
 
 namespace {
 
@@ -25,6 +26,8 @@
   static const std::vector<Command> kCommands = {
       {"flow-experiment", "compare flow routing designs in virtual time",
        marjoramhall::lab::RunFlowExperiment},
+      {"flow-load", "open flows through VMs and check where they arrive",
+       marjoramhall::lab::RunFlowLoad},
       {"ports", "print N free loopback ports", marjoramhall::lab::RunPorts},
       {"store", "stand-in for the platform's store",
        marjoramhall::lab::RunStore},
--- a/src/flow/flow_router.cc
+++ b/src/flow/flow_router.cc
@@ -11,6 +11,8 @@
 
 // The half-open section is this part of the established one.
 constexpr size_t kHalfOpenShare = 8;
+// Ticks come every 10 ms; a gap of this length is a pause.
+constexpr Duration kPauseThreshold = std::chrono::milliseconds(300);
 constexpr Duration kControlInterval = std::chrono::milliseconds(50);
 constexpr Duration kManagedInterval = std::chrono::milliseconds(500);
 // An entry that was put to the owner and got no answer is put again after 1 s.
@@ -90,8 +92,18 @@
   return true;
 }
 
+// A VM that did not run for a while has missed answers of its peers; that does
+// not mean that they are out of reach, and it must not take over from them.
+void FlowRouter::NoticePause(TimePoint now) {
+  if (now - last_tick_ > kPauseThreshold) {
+    peers_.OnResume();
+    last_tick_ = now;
+  }
+}
+
 bool FlowRouter::Prepare(Packet& packet, Route& dropped) {
   ++counters_[FlowCounter::kPackets];
+  NoticePause(packet.now);
   packet.tick = ToTick(packet.now);
   if (!view_) {
     dropped = Drop(FlowCounter::kDropNoConfiguration);
@@ -106,24 +118,54 @@
   return true;
 }
 
-Route FlowRouter::OnFabricPacket(std::span<const uint8_t> bytes,
-                                 TimePoint now) {
-  Packet packet;
-  packet.bytes = bytes;
-  packet.now = now;
-  Route dropped;
-  if (!Prepare(packet, dropped)) {
-    return dropped;
+bool FlowRouter::Admit(Packet& packet, Route& route) {
+  if (!Prepare(packet, route)) {
+    return false;
   }
   packet.hop.origin = self_;
   packet.hop.origin_tick = packet.tick;
   if (packet.info.fragment) {
-    return OnFragment(packet);
+    route = OnFragment(packet);
+    return false;
   }
   if (!Identify(packet)) {
-    return Drop(FlowCounter::kDropNoService);
+    route = Drop(FlowCounter::kDropNoService);
+    return false;
+  }
+  return true;
+}
+
+Route FlowRouter::OnFabricPacket(std::span<const uint8_t> bytes,
+                                 TimePoint now) {
+  Packet packet;
+  packet.bytes = bytes;
+  packet.now = now;
+  Route route;
+  return Admit(packet, route) ? RouteEntry(packet) : route;
+}
+
+void FlowRouter::OnFabricBatch(
+    std::span<const std::span<const uint8_t>> packets,
+    TimePoint now,
+    std::vector<Route>& routes) {
+  const size_t first = routes.size();
+  routes.resize(first + packets.size());
+  batch_.clear();
+  batch_.resize(packets.size());
+  for (size_t i = 0; i < packets.size(); ++i) {
+    batch_[i].bytes = packets[i];
+    batch_[i].now = now;
+    if (Admit(batch_[i], routes[first + i])) {
+      table_.Prefetch(batch_[i].hash);
+    } else {
+      batch_[i].bytes = {};
+    }
+  }
+  for (size_t i = 0; i < packets.size(); ++i) {
+    if (!batch_[i].bytes.empty()) {
+      routes[first + i] = RouteEntry(batch_[i]);
+    }
   }
-  return RouteEntry(packet);
 }
 
 Route FlowRouter::OnHopDatagram(std::span<const uint8_t> datagram,
@@ -180,21 +222,18 @@
       (entry->flags & kEntryClosing) == 0) {
     return RouteClose(packet, *entry);
   }
-  bool half_open = false;
-  Find(packet.hash, half_open);
   // The packet that completes the handshake: owner and backup both have to
   // learn it, or the entry of the other one ends with the half-open timeout.
-  const bool completes = half_open && (entry->flags & kEntryHolder) != 0;
+  const bool completes = packet.half_open && (entry->flags & kEntryHolder) != 0;
   if (completes || NeedsConfirmation(packet, *entry)) {
     return Confirm(packet, *entry);
   }
   entry->seen = packet.tick;
-  const TargetId target = entry->target;
-  if (half_open) {
+  if (packet.half_open) {
     Promote(entry);
   }
   ++counters_[FlowCounter::kHits];
-  return ToTarget(packet, target);
+  return ToTarget(*packet.target);
 }
 
 // The owner decides about first packets even when this VM has an entry: the
@@ -352,6 +391,9 @@
     return;
   }
   const Tick tick = ToTick(now);
+  if (now - last_tick_ > kPauseThreshold) {
+    peers_.OnResume();
+  }
   // One pass over each table per second.
   const auto share = [&](const FlowTable& table) {
     const double elapsed =
@@ -387,10 +429,14 @@
   if (it->service != packet.service) {
     return Drop(FlowCounter::kDropOtherService);
   }
+  return ToTarget(*it);
+}
+
+Route FlowRouter::ToTarget(const TargetView& target) {
   Route route;
   route.kind = RouteKind::kTarget;
-  route.target = target;
-  route.endpoint = it->endpoint;
+  route.target = target.id;
+  route.endpoint = target.endpoint;
   return route;
 }
 
--- a/src/flow/flow_router.h
+++ b/src/flow/flow_router.h
@@ -70,6 +70,12 @@
   // A packet from the fabric, starting with its IP header.
   Route OnFabricPacket(std::span<const uint8_t> packet, TimePoint now);
 
+  // Like OnFabricPacket for each of `packets`, appending to `routes`. Loads the
+  // entries of all packets at once, so that lookups do not wait for memory.
+  void OnFabricBatch(std::span<const std::span<const uint8_t>> packets,
+                     TimePoint now,
+                     std::vector<Route>& routes);
+
   // A datagram from the hop socket. `packet` is set to the IP packet in it.
   Route OnHopDatagram(std::span<const uint8_t> datagram,
                       std::span<const uint8_t>& packet,
@@ -106,12 +112,18 @@
     uint32_t service = 0;  // index in the view
     TimePoint now;
     Tick tick = 0;
+    // Set by FindValid: the target of the entry and where the entry is.
+    const TargetView* target = nullptr;
+    bool half_open = false;
     protocol::HopHeader hop;  // as received; origin fields set for own packets
   };
 
   // Entry of packets (flow_router.cc).
+  void NoticePause(TimePoint now);
   bool Prepare(Packet& packet, Route& dropped);
   bool Identify(Packet& packet);
+  // Parses and identifies; true when the packet goes on to RouteEntry.
+  bool Admit(Packet& packet, Route& route);
   Route RouteEntry(Packet& packet);
   Route RouteFirst(Packet& packet);
   Route RouteUnknown(Packet& packet);
@@ -125,6 +137,7 @@
   Route OnFirst(Packet& packet);
   Route OnAsk(Packet& packet);
   Route OnRecord(Packet& packet);
+  TargetId CorrectedTarget(const Packet& packet, const FlowEntry* entry);
   Route OnCorrect(Packet& packet);
   Route OnDeliver(Packet& packet);
   Route OnWalk(Packet& packet);
@@ -138,6 +151,7 @@
   Route Answer(Packet& packet, TargetId target, uint8_t flags);
 
   Route ToTarget(const Packet& packet, TargetId target);
+  Route ToTarget(const TargetView& target);
   Route ToPeer(Packet& packet,
                MemberIndex peer,
                protocol::HopKind kind,
@@ -148,7 +162,7 @@
   // Entries (flow_router_entries.cc).
   FlowEntry* Find(const FlowHash& hash, bool& half_open);
   // An entry whose target belongs to the packet's service, or null.
-  FlowEntry* FindValid(const Packet& packet);
+  FlowEntry* FindValid(Packet& packet);
   FlowEntry* Promote(FlowEntry* entry);
   FlowEntry* Keep(const Packet& packet,
                   TargetId target,
@@ -204,6 +218,7 @@
   std::vector<uint32_t> load_;
   ManagedSet managed_;
   std::vector<ReleasedPacket> released_;
+  std::vector<Packet> batch_;  // reused by OnFabricBatch
   TimePoint last_tick_{};
   TimePoint next_control_{};
   TimePoint next_managed_{};
