--- a/lab/http_load_connections.cc
+++ b/lab/http_load_connections.cc
@@ -12,6 +12,8 @@
 
 constexpr Duration kConnectTimeout = std::chrono::milliseconds(500);
 constexpr Duration kReconnectPause = std::chrono::milliseconds(50);
+// A VM that refuses a connection counts as gone this long; callers use others.
+constexpr Duration kRefusedPause = std::chrono::seconds(1);
 
 }  // namespace
 
@@ -55,7 +57,7 @@
     const auto it = weak.lock();
     if (it && it->generation == generation) {
       it->session.reset();
-      ConnectLater(it);
+      ConnectLater(it, kReconnectPause);
     }
   };
   net::SessionHooks hooks;
@@ -74,17 +76,18 @@
         }
         it->session = session;
         if (!session) {
-          ConnectLater(it);
+          ConnectLater(it, kRefusedPause);
         }
       });
 }
 
-void LoadConnections::ConnectLater(const std::shared_ptr<Line>& line) {
+void LoadConnections::ConnectLater(const std::shared_ptr<Line>& line,
+                                   Duration pause) {
   if (line->closed) {
     return;
   }
   line->generation++;
-  line->timer.expires_after(kReconnectPause);
+  line->timer.expires_after(pause);
   line->timer.async_wait(
       [weak = std::weak_ptr<Line>(line)](std::error_code ec) {
         const auto it = weak.lock();
--- a/lab/http_load_connections.h
+++ b/lab/http_load_connections.h
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "src/base/endpoint.h"
+#include "src/base/time.h"
 #include "src/net/http2_session.h"
 
 namespace asio {
@@ -36,7 +37,7 @@
   struct Line;
 
   static void Connect(const std::shared_ptr<Line>& line);
-  static void ConnectLater(const std::shared_ptr<Line>& line);
+  static void ConnectLater(const std::shared_ptr<Line>& line, Duration pause);
 
   std::vector<std::unique_ptr<Vm>> vms_;
 };
--- a/lab/main.cc
+++ b/lab/main.cc
@@ -7,11 +7,11 @@
 #include <string_view>
 #include <vector>
 
-#include "lab/http_commands.h"
 #include "lab/flow_baselines.h"
+#include "lab/http_commands.h"
 #include "lab/ports.h"
-#include "lab/store_commands.h"
 #include "lab/request_experiment.h"
+#include "lab/store_commands.h"
 
 namespace {
 
