--- a/src/request/key_range_state.h
+++ b/src/request/key_range_state.h
@@ -29,6 +29,9 @@
   // The role of this process. A record that names this VM gives no role when an
   // earlier process of the VM held it, since its keys are gone.
   RangeRole role = RangeRole::kNone;
+  // Newest epoch that the store is known to hold. Below the record's epoch when
+  // the owner took over without the store.
+  uint64_t store_epoch = 0;
 
   // Owner.
   BackupSync sync = BackupSync::kAlone;
@@ -62,6 +65,8 @@
   // Entry VM: the history gap that the owner has said to be open.
   uint64_t known_open_gap = 0;
 
+  // The record's owner is not in view: since when; zero while it is.
+  TimePoint owner_absent_since{};
   // No role, although the record names this VM: since when.
   TimePoint orphaned_at{};
 };
