Skip the search for suspects when there are none

Each tick looked at every member for suspicions, a cost that grows with the number of VMs. control_scale_bench at 128 VMs: 217 us to 130 us of CPU a second per VM, on a machine shared with other builds. control_test: 32 tests passed.

--- a/src/control/membership.h
+++ b/src/control/membership.h
@@ -181,6 +181,8 @@
   uint32_t next_part_ = 0;
   VmId held_cursor_ = VmId::kNone;
   size_t next_seed_ = 0;
+  // False when no member is suspected; saves a look at each one on each tick.
+  bool may_have_suspects_ = false;
   bool joined_ = false;
   bool stopped_ = false;
   TimePoint started_{};
--- a/src/control/membership_merge.cc
+++ b/src/control/membership_merge.cc
@@ -174,6 +174,7 @@
   record->leaving = standing == Standing::kLeaving;
   record->changed = now;
   record->deadline = now + options_.suspicion;
+  may_have_suspects_ = true;
   record->member.state = StateOf(*record);
   const auto it = present_.emplace(id, std::move(*record)).first;
   const size_t at =
@@ -274,6 +275,7 @@
   record->deadline =
       again ? std::min(record->deadline, now + wait) : now + wait;
   record->standing = Standing::kSuspect;
+  may_have_suspects_ = true;
   record->next_contact = now + options_.probe_interval;
   record->member.state = StateOf(*record);
   ++version_;
--- a/src/control/membership_probe.cc
+++ b/src/control/membership_probe.cc
@@ -210,11 +210,16 @@
 }
 
 void Membership::CheckSuspects(TimePoint now) {
+  if (!may_have_suspects_) {
+    return;
+  }
+  may_have_suspects_ = false;
   std::vector<VmId> expired;
   for (auto& [id, record] : present_) {
     if (record.standing != Standing::kSuspect || id == self_id_) {
       continue;
     }
+    may_have_suspects_ = true;
     if (now >= record.deadline) {
       expired.push_back(id);
     } else if (now >= record.next_contact) {
