--- a/lab/flow_commands.h
+++ b/lab/flow_commands.h
@@ -13,7 +13,8 @@
 // one JSON line; ends after --duration or at SIGTERM. Returns 0 when no flow
 // was broken or misrouted, 1 otherwise, 2 for bad arguments.
 //   --vm 127.0.0.1:P              fabric address of a VM (repeatable)
-//   --vm-list FILE                the fabric's list of VMs, re-read while it runs
+//   --vm-list FILE                the fabric's list of VMs, re-read while it
+//   runs
 //   --service IP:PORT=EP,EP,...   a service's flow address and the flow
 //                                 endpoints of its targets, which this process
 //                                 binds (repeatable)
