Count flows per target over all VMs for plans

Cause: plans showed no flows, since each VM knew only those it owns; a removal could cut flows that nobody counted. Change: the flow plane adds the load reports of its peers to its own count; VmProcess gives it, and this VM's requests, to the intent service. Requests of other VMs are still not counted, so plans of several VMs keep their warning.

--- a/src/app/vm_process.cc
+++ b/src/app/vm_process.cc
@@ -124,6 +124,7 @@
   std::string OpenOperatorSide();
   control::IntentHooks MakeIntentHooks();
   std::vector<control::IntentMember> IntentMembers() const;
+  control::LoadView CountLoad() const;
   void OnPeerMessage(VmId from, PeerChannel channel, std::string payload);
   void WaitForSignal();
   void OnSignal();
@@ -311,11 +312,27 @@
   return members;
 }
 
+// Flows are counted over all VMs. Requests are counted at this VM only, so the
+// counts are complete only for a site of one VM.
+control::LoadView VmProcess::Impl::CountLoad() const {
+  control::LoadView load;
+  const net::FlowStats flow = flow_->Snapshot();
+  for (const auto& [target, flows] : flow.target_flows) {
+    load.targets[target].flows = flows;
+  }
+  for (const auto& [target, requests] : request_->Snapshot().core.in_progress) {
+    load.targets[target].requests = requests;
+  }
+  load.complete = flow.target_flows_complete &&
+                  control_->CurrentView()->members.size() == 1;
+  return load;
+}
+
 control::IntentHooks VmProcess::Impl::MakeIntentHooks() {
   control::IntentHooks hooks;
   hooks.current = [this] { return control_->CurrentView()->deployment; };
   hooks.members = [this] { return IntentMembers(); };
-  hooks.load = [] { return std::optional<control::LoadView>(); };
+  hooks.load = [this] { return std::optional(CountLoad()); };
   hooks.propose = [this](const config::Deployment& next,
                          const std::string& change_id,
                          control::ProposeDone done) {
--- a/src/flow/flow_peers.cc
+++ b/src/flow/flow_peers.cc
@@ -295,6 +295,11 @@
   peer.lease_members = grant.members();
 }
 
+bool FlowPeers::AllLoadsReported() const {
+  return std::all_of(peers_.begin(), peers_.end(),
+                     [](const auto& it) { return !it.second.load.empty(); });
+}
+
 void FlowPeers::ForgetLoad(Peer& peer) {
   for (const auto& [target, flows] : peer.load) {
     reported_load_[target] -= flows;
--- a/src/flow/flow_peers.h
+++ b/src/flow/flow_peers.h
@@ -93,6 +93,8 @@
 
   // Load that all peers together report for a target.
   uint32_t ReportedLoad(TargetId target) const;
+  // Whether each peer has reported its load since it joined or restarted.
+  bool AllLoadsReported() const;
 
  private:
   struct Exception {
--- a/src/flow/flow_router.h
+++ b/src/flow/flow_router.h
@@ -98,6 +98,11 @@
   size_t QueuedExceptions() const { return peers_.QueuedExceptions(); }
   // Established flows per target in the buckets that this VM owns.
   LoadList OwnLoad() const;
+  // Established flows per target over all VMs, as of their last reports (every
+  // 2 s).
+  LoadList TotalLoad() const;
+  // Whether TotalLoad() has the flows of every member.
+  bool IsTotalLoadComplete() const { return peers_.AllLoadsReported(); }
   // Number of own buckets that are managed, steered ones not counted.
   size_t ManagedCount() const;
   const FlowView* view() const { return view_.get(); }
--- a/src/flow/flow_router_entries.cc
+++ b/src/flow/flow_router_entries.cc
@@ -238,6 +238,14 @@
   return list;
 }
 
+LoadList FlowRouter::TotalLoad() const {
+  LoadList list = OwnLoad();
+  for (auto& [target, flows] : list) {
+    flows += peers_.ReportedLoad(target);
+  }
+  return list;
+}
+
 size_t FlowRouter::ManagedCount() const {
   size_t n = 0;
   for (const ServiceBuckets* it : buckets_) {
--- a/src/net/flow_path.cc
+++ b/src/net/flow_path.cc
@@ -235,7 +235,8 @@
       // Walks over all buckets; twice a second is enough.
       stats_.exceptions = router_.ExceptionCount();
       stats_.managed_buckets = router_.ManagedCount();
-      stats_.target_flows = router_.OwnLoad();
+      stats_.target_flows = router_.TotalLoad();
+      stats_.target_flows_complete = router_.IsTotalLoadComplete();
     }
     const std::lock_guard lock(snapshot_mutex_);
     snapshot_ = stats_;
--- a/src/net/flow_path.h
+++ b/src/net/flow_path.h
@@ -51,9 +51,10 @@
   size_t exceptions = 0;
   size_t managed_buckets = 0;
   Revision revision = 0;
-  // Established flows per target in the buckets that this VM owns, about once a
-  // second; the sum over all VMs counts each flow once.
+  // Established flows per target over all VMs, at most 3 s old.
   std::vector<std::pair<TargetId, uint32_t>> target_flows;
+  // False while some VM has not reported its flows.
+  bool target_flows_complete = false;
 };
 
 // Members are called on the thread of the io_context, except where stated.
--- a/tests/flow/router_test.cc
+++ b/tests/flow/router_test.cc
@@ -5,6 +5,8 @@
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
 
+#include <map>
+
 #include "lab/flow_sim.h"
 
 namespace marjoramhall::flow {
@@ -105,5 +107,24 @@
   ExpectClean(sim);
 }
 
+// A plan counts flows that a removal would cut; a VM that reports only what it
+// owns would hide six sevenths of them.
+TEST(FlowRouterTest, EachVmCountsTheFlowsOfAllVmsOnce) {
+  FlowSim sim(FlowSimOptions{}, Factory(Options()));
+  Traffic(sim, 400, std::chrono::seconds(5));
+  sim.RunFor(std::chrono::seconds(3));
+  std::map<TargetId, uint32_t> expected;
+  for (const auto& it : sim.flows()) {
+    expected[it.target] += it.established ? 1 : 0;
+  }
+  for (size_t vm = 0; vm < sim.VmCount(); ++vm) {
+    auto& router = dynamic_cast<lab::RouterNode&>(*sim.Node(vm)).router();
+    EXPECT_TRUE(router.IsTotalLoadComplete());
+    for (const auto& [target, flows] : router.TotalLoad()) {
+      EXPECT_EQ(flows, expected[target]) << ToInteger(target);
+    }
+  }
+}
+
 }  // namespace
 }  // namespace marjoramhall::flow
