--- a/src/net/request_path.cc
+++ b/src/net/request_path.cc
@@ -236,6 +236,7 @@
                      session->peer().address.ToString(), options_.replay_bytes);
     if (!info) {
       refusal.reason = request::RefusalReason::kUnknownService;
+      refusal.status = 404;
       return RefuseEarly(session, stream, refusal);
     }
     info->id = ++last_id_;
--- a/tests/net/request_path_test.cc
+++ b/tests/net/request_path_test.cc
@@ -61,7 +61,7 @@
   StartTarget();
   StartPath(target_->local());
   EXPECT_EQ(RefusalOf(Ask(Get("/", "other.test"))),
-            "503 not-run unknown-service");
+            "404 not-run unknown-service");
   ASSERT_EQ(decisions_.size(), 1u);
   EXPECT_EQ(decisions_[0].second, "unknown-service");
 }
