--- a/lab/control_sim.h
+++ b/lab/control_sim.h
@@ -17,26 +17,13 @@
 #include <vector>
 
 #include "lab/control_sim_codec.h"
+#include "lab/control_sim_faults.h"
 #include "src/control/control_core.h"
 #include "src/control/store_table.h"
 #include "src/protocol/envelope.h"
 
 namespace marjoramhall::lab {
 
-struct SimFaults {
-  double loss = 0;
-  double repeat = 0;
-  // Upper bound of an extra random delay of each message.
-  Duration jitter{0};
-  bool store_down = false;
-  // Part of store calls that are refused, and of writes that take effect but
-  // lose their answer.
-  double store_refuse = 0;
-  double store_lose_answer = 0;
-  Duration store_delay{0};
-  bool drop_watches = false;
-};
-
 class ControlSim {
  public:
   struct Vm {
