Print no imbalance where the flow experiment measures none

Cause: later phases printed 0.00%, which read as a measured figure. Change: '-' in the table, null in the JSON.

--- a/lab/flow_experiment.cc
+++ b/lab/flow_experiment.cc
@@ -6,6 +6,7 @@
 #include <cstdio>
 #include <map>
 #include <nlohmann/json.hpp>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -27,7 +28,9 @@
   uint64_t broken = 0;
   uint64_t misrouted = 0;
   uint64_t new_on_draining = 0;
-  double imbalance = 0;     // worst deviation from the weighted share
+  // Worst deviation from the weighted share; only of the first phase, since
+  // later ones have flows of several target sets.
+  std::optional<double> imbalance;
   double control_mean = 0;  // bytes per second and VM over the phase
   double control_peak = 0;  // highest second of any VM
 };
@@ -99,7 +102,9 @@
     it.misrouted = sim_.violations().misrouted - before.misrouted;
     it.new_on_draining =
         sim_.violations().new_on_draining - before.new_on_draining;
-    it.imbalance = first == 0 ? Imbalance() : 0;
+    if (first == 0) {
+      it.imbalance = Imbalance();
+    }
     it.control_mean = phase_bytes_ / std::max(phase_seconds_, 1.0) /
                       static_cast<double>(sim_.VmCount());
     it.control_peak = phase_peak_;
@@ -184,20 +189,22 @@
              "B/s mean", "B/s peak");
   nlohmann::json all = nlohmann::json::array();
   for (const Outcome& it : outcomes) {
-    fmt::print("{:<14}{:<17}{:>8}{:>8}{:>9}{:>10}{:>11.2f}{:>10.0f}{:>10.0f}\n",
+    const std::string imbalance =
+        it.imbalance ? fmt::format("{:.2f}", *it.imbalance * 100) : "-";
+    fmt::print("{:<14}{:<17}{:>8}{:>8}{:>9}{:>10}{:>11}{:>10.0f}{:>10.0f}\n",
                it.design, it.phase, it.established, it.broken, it.misrouted,
-               it.new_on_draining, it.imbalance * 100, it.control_mean,
-               it.control_peak);
-    all.push_back({{"design", it.design},
-                   {"phase", it.phase},
-                   {"flows", it.flows},
-                   {"established", it.established},
-                   {"broken", it.broken},
-                   {"misrouted", it.misrouted},
-                   {"new_on_draining", it.new_on_draining},
-                   {"imbalance", it.imbalance},
-                   {"control_bytes_per_second_mean", it.control_mean},
-                   {"control_bytes_per_second_peak", it.control_peak}});
+               it.new_on_draining, imbalance, it.control_mean, it.control_peak);
+    all.push_back(
+        {{"design", it.design},
+         {"phase", it.phase},
+         {"flows", it.flows},
+         {"established", it.established},
+         {"broken", it.broken},
+         {"misrouted", it.misrouted},
+         {"new_on_draining", it.new_on_draining},
+         {"imbalance", it.imbalance ? nlohmann::json(*it.imbalance) : nullptr},
+         {"control_bytes_per_second_mean", it.control_mean},
+         {"control_bytes_per_second_peak", it.control_peak}});
   }
   fmt::print("{}\n", nlohmann::json{{"flow_experiment", all}}.dump());
 }
