Clear the linter's findings in the request bench and the body test

Cause: benchmark functions were named BM_X against the naming rule, and a bound was multiplied in 32 bits before it was widened. Change: BmX; size_t{2} * window. The tick bench also runs 1000 services.

--- a/bench/request_bench.cc
+++ b/bench/request_bench.cc
@@ -100,7 +100,7 @@
   RequestId started_ = 0;
 };
 
-void BM_IdempotentRequest(benchmark::State& state) {
+void BmIdempotentRequest(benchmark::State& state) {
   OneVm vm(static_cast<size_t>(state.range(0)));
   for ([[maybe_unused]] auto _ : state) {
     vm.Request("");
@@ -109,9 +109,9 @@
     state.SkipWithError("requests were refused");
   }
 }
-BENCHMARK(BM_IdempotentRequest)->Arg(2)->Arg(100);
+BENCHMARK(BmIdempotentRequest)->Arg(2)->Arg(100);
 
-void BM_KeyedRequest(benchmark::State& state) {
+void BmKeyedRequest(benchmark::State& state) {
   OneVm vm(2);
   size_t n = 0;
   for ([[maybe_unused]] auto _ : state) {
@@ -122,9 +122,9 @@
   }
 }
 // Below the bound on keys.
-BENCHMARK(BM_KeyedRequest)->Iterations(50000);
+BENCHMARK(BmKeyedRequest)->Iterations(50000);
 
-void BM_Tick(benchmark::State& state) {
+void BmTick(benchmark::State& state) {
   OneVm vm(static_cast<size_t>(state.range(0)));
   TimePoint now{std::chrono::seconds(2000)};
   for ([[maybe_unused]] auto _ : state) {
@@ -132,7 +132,7 @@
     vm.plane().OnTick(now);
   }
 }
-BENCHMARK(BM_Tick)->Arg(2)->Arg(100);
+BENCHMARK(BmTick)->Arg(2)->Arg(100)->Arg(1000);
 
 }  // namespace
 }  // namespace marjoramhall::request
--- a/tests/net/request_path_test.cc
+++ b/tests/net/request_path_test.cc
@@ -272,9 +272,9 @@
   const RequestStats stats = path_->Snapshot();
   const Http2Limits limits;
   // Received and not consumed plus written and not framed, for each direction.
-  EXPECT_LE(stats.callers.peak_buffered, 2u * limits.stream_window);
+  EXPECT_LE(stats.callers.peak_buffered, size_t{2} * limits.stream_window);
   EXPECT_LE(stats.targets.peak_buffered,
-            2u * limits.stream_window + options_.replay_bytes);
+            size_t{2} * limits.stream_window + options_.replay_bytes);
   EXPECT_EQ(stats.callers.buffered, 0u);
   EXPECT_EQ(stats.targets.buffered, 0u);
 }
