Let a leaving VM hand over its exceptions before it stops

Cause: replication of exceptions is paced. A longer fixed grace time would only move the limit. The demo allows the stop deadline of 30 s.

--- a/lab/flow_node.h
+++ b/lab/flow_node.h
@@ -31,6 +31,8 @@
                              TimePoint now) = 0;
   virtual void OnTick(TimePoint now) = 0;
   virtual uint64_t ControlBytes() const = 0;
+  // Whether a VM that leaves has handed over what only it knows.
+  virtual bool IsHandedOver(TimePoint) const { return true; }
 };
 
 using FlowNodeFactory =
@@ -72,6 +74,9 @@
   uint64_t ControlBytes() const override {
     return router_.counters()[flow::FlowCounter::kControlBytes];
   }
+  bool IsHandedOver(TimePoint now) const override {
+    return router_.IsHandedOver(now);
+  }
   flow::FlowRouter& router() { return router_; }
 
  private:
--- a/lab/flow_sim_model.h
+++ b/lab/flow_sim_model.h
@@ -3,11 +3,14 @@
 #define MARJORAMHALL_LAB_FLOW_SIM_MODEL_H_
 
 #include <functional>
+#include <map>
+#include <memory>
 #include <queue>
 #include <string>
 #include <utility>
 #include <vector>
 
+#include "lab/flow_node.h"
 #include "src/base/time.h"
 #include "src/config/deployment.h"
 #include "src/flow/packet.h"
@@ -44,6 +47,20 @@
   TimePoint last_syn;
 };
 
+// A VM of the simulated site. No node: it is down.
+struct SimVm {
+  std::string name;
+  VmId id = VmId::kNone;
+  Incarnation incarnation = 0;
+  std::unique_ptr<FlowNode> node;
+  bool leaving = false;
+  int side = 0;
+  TimePoint paused_until{};
+  config::DeploymentPtr deployment;
+  std::map<size_t, config::Member> beliefs;
+  uint64_t view_number = 0;
+};
+
 // The n-th flow of the callers.
 inline SimFlow MakeSimFlow(uint32_t n,
                            uint32_t service,
--- a/src/app/vm_process.cc
+++ b/src/app/vm_process.cc
@@ -454,9 +454,9 @@
     if (ec) {
       return;
     }
-    const uint64_t packets = flow_->Snapshot().packets_in;
-    if (packets != packets_before) {
-      StopFlowPathWhenQuiet(packets);
+    const net::FlowStats flow = flow_->Snapshot();
+    if (flow.packets_in != packets_before || !flow.handed_over) {
+      StopFlowPathWhenQuiet(flow.packets_in);
       return;
     }
     flow_->PostStop(
--- a/src/flow/flow_router.h
+++ b/src/flow/flow_router.h
@@ -96,6 +96,10 @@
   // for replication.
   size_t ExceptionCount() const;
   size_t QueuedExceptions() const { return peers_.QueuedExceptions(); }
+  // Whether every exception has reached the present owner or backup of its
+  // bucket. A VM that leaves must not stop before. A sweep over the table takes
+  // 1 s, so a recent change of ownership may not have queued all of them yet.
+  bool IsHandedOver(TimePoint now) const;
   // Established flows per target in the buckets that this VM owns.
   LoadList OwnLoad() const;
   // Established flows per target over all VMs, as of their last reports (every
@@ -221,6 +225,7 @@
   std::vector<BucketOwnership> ownership_;
   // By target index of the view: established flows in own buckets.
   std::vector<uint32_t> load_;
+  Tick ownership_changed_ = 0;
   ManagedSet managed_;
   std::vector<ReleasedPacket> released_;
   std::vector<Packet> batch_;  // reused by OnFabricBatch
--- a/src/flow/flow_router_entries.cc
+++ b/src/flow/flow_router_entries.cc
@@ -4,6 +4,12 @@
 #include "src/flow/flow_router.h"
 
 namespace marjoramhall::flow {
+namespace {
+
+// One sweep over the table, with a margin for late ticks.
+constexpr Duration kSweepTime = std::chrono::milliseconds(1500);
+
+}  // namespace
 
 FlowEntry* FlowRouter::Find(const FlowHash& hash, bool& half_open) {
   half_open = false;
@@ -230,6 +236,11 @@
   return n;
 }
 
+bool FlowRouter::IsHandedOver(TimePoint now) const {
+  return ToTick(now) - ownership_changed_ > ToTicks(kSweepTime) &&
+         peers_.QueuedExceptions() == 0;
+}
+
 LoadList FlowRouter::OwnLoad() const {
   LoadList list;
   for (size_t i = 0; i < load_.size(); ++i) {
@@ -371,6 +382,7 @@
     }
     if (!owner_stays || !same(*previous, b, 1)) {
       ++it.epoch;
+      ownership_changed_ = tick;
     }
   }
 }
--- a/src/net/flow_path.cc
+++ b/src/net/flow_path.cc
@@ -230,6 +230,7 @@
     stats_.counters = router_.counters();
     stats_.entries = router_.EntryCount();
     stats_.half_open = router_.HalfOpenCount();
+    stats_.handed_over = router_.IsHandedOver(SteadyNow());
     stats_.revision = router_.view() ? router_.view()->revision() : 0;
     if (++publish_count_ % 50 == 0) {
       // Walks over all buckets; twice a second is enough.
--- a/src/net/flow_path.h
+++ b/src/net/flow_path.h
@@ -49,6 +49,8 @@
   size_t entries = 0;
   size_t half_open = 0;
   size_t exceptions = 0;
+  // Whether a VM that leaves may stop; see FlowRouter::IsHandedOver().
+  bool handed_over = false;
   size_t managed_buckets = 0;
   Revision revision = 0;
   // Established flows per target over all VMs, at most 3 s old.
--- a/tools/demo.sh
+++ b/tools/demo.sh
@@ -14,7 +14,7 @@
 source tools/site.sh
 trap stop_all EXIT
 
-readonly load_seconds=40
+readonly load_seconds=60
 failures=0
 
 say() { printf '%6.1f s  %s\n' "$(elapsed)" "$*"; }
@@ -136,7 +136,9 @@
 say "vm-2 told to stop; the fabric's list follows after 2 s"
 sleep 2
 fabric_list 1 3 4 5 6 7
-expect "vm-2 finished its work and exited with 0" stops_within 10 vm-2
+# 30 s is the stop deadline; handing over exceptions within the control budget
+# takes most of the time.
+expect "vm-2 finished its work and exited with 0" stops_within 32 vm-2
 store_faults '{"down":true}'
 say "store is down"
 expect "a confirm during the outage is refused or unknown, not accepted" \
