--- a/src/config/change.cc
+++ b/src/config/change.cc
@@ -258,6 +258,10 @@
   next.next_target_id = 1;
   for (Service& service : next.services) {
     service.id = static_cast<ServiceId>(next.next_service_id++);
+    if (service.targets.empty()) {
+      result.errors.push_back("service " + service.name +
+                              ": expected at least one target");
+    }
     for (Target& it : service.targets) {
       it.id = static_cast<TargetId>(next.next_target_id++);
     }
--- a/tests/config/change_test.cc
+++ b/tests/config/change_test.cc
@@ -163,5 +163,19 @@
   EXPECT_TRUE(HistoryCovers(current, 1));
 }
 
+// A deployment file whose service can serve nothing was accepted silently.
+TEST(ChangeTest, InitialServiceWithoutTargetsIsAnError) {
+  Deployment written;
+  written.domains.push_back({"d", ""});
+  Service service;
+  service.name = "empty";
+  service.host = "empty.example";
+  service.flow_address = *Endpoint::Parse("127.0.0.9:443");
+  written.services.push_back(service);
+  const auto result = PrepareInitial(written, "lineage", {"c", "a", "", 0});
+  ASSERT_EQ(result.errors.size(), 1U);
+  EXPECT_EQ(result.errors[0], "service empty: expected at least one target");
+}
+
 }  // namespace
 }  // namespace marjoramhall::config
