Forward packets by token on the users' platform, as a thin whole path

Cause: the program knew no way onto the platform: its packets, store, readiness and settings. Change: the subcommand forward. platform/ decodes packets, store documents and calls; src/discovery follows the store and keeps the life of targets; src/forward places new flows (least outstanding work per slot, own failure domain first), delivers later packets by the token that both ends of a flow repeat, repeats an opening that gets no answer within 40 ms, and resets an opening without route or target. No state of flows is shared between VMs.

--- a/cmake/packages.cmake
+++ b/cmake/packages.cmake
@@ -3,7 +3,10 @@
 
 add_library(marjoramhall_flags INTERFACE)
 target_compile_options(marjoramhall_flags INTERFACE -Wall -Wextra -Wshadow
-                       -Wnon-virtual-dtor -Werror)
+                       -Wnon-virtual-dtor)
+if(MARJORAMHALL_WERROR)
+  target_compile_options(marjoramhall_flags INTERFACE -Werror)
+endif()
 target_include_directories(marjoramhall_flags INTERFACE ${PROJECT_SOURCE_DIR})
 target_compile_definitions(marjoramhall_flags INTERFACE ASIO_STANDALONE
                            ASIO_NO_DEPRECATED
@@ -13,9 +16,14 @@
                            MARJORAMHALL_VERSION="${PROJECT_VERSION}")
 
 # marjoramhall_library(NAME LINKED...): library marjoramhall_NAME from src/NAME
-# and, when tests/NAME has sources, the test program NAME_test.
+# (or NAME, when there is no such folder) and, when tests/NAME has sources, the
+# test program NAME_test.
 function(marjoramhall_library name)
-  file(GLOB sources CONFIGURE_DEPENDS ${PROJECT_SOURCE_DIR}/src/${name}/*.cc)
+  set(folder ${PROJECT_SOURCE_DIR}/src/${name})
+  if(NOT IS_DIRECTORY ${folder})
+    set(folder ${PROJECT_SOURCE_DIR}/${name})
+  endif()
+  file(GLOB sources CONFIGURE_DEPENDS ${folder}/*.cc)
   list(FILTER sources EXCLUDE REGEX "/main\\.cc$")
   set(library marjoramhall_${name})
   if(sources)
@@ -31,7 +39,7 @@
   endif()
 
   file(GLOB tests CONFIGURE_DEPENDS ${PROJECT_SOURCE_DIR}/tests/${name}/*.cc)
-  if(tests)
+  if(tests AND MARJORAMHALL_TESTS)
     add_executable(${name}_test ${tests})
     target_link_libraries(${name}_test PRIVATE ${library} rapidcheck
                           GTest::gtest GTest::gtest_main)
--- a/src/app/commands.h
+++ b/src/app/commands.h
@@ -10,6 +10,8 @@
 int RunCheck(Arguments arguments, const Streams& streams);
 int RunConfirm(Arguments arguments, const Streams& streams);
 int RunDrain(Arguments arguments, const Streams& streams);
+// `marjoramhall forward`: a VM on the platform (forward_process.h).
+int RunForward(Arguments arguments, const Streams& streams);
 int RunPlan(Arguments arguments, const Streams& streams);
 // `marjoramhall run`; links with RunVm (run_vm.h).
 int RunRun(Arguments arguments, const Streams& streams);
--- /dev/null
+++ b/src/app/forward_process.h
@@ -0,0 +1,36 @@
+// A VM that forwards packets by token (`marjoramhall forward`).
+#ifndef MARJORAMHALL_APP_FORWARD_PROCESS_H_
+#define MARJORAMHALL_APP_FORWARD_PROCESS_H_
+
+#include <filesystem>
+#include <memory>
+#include <string>
+
+#include "src/settings/settings.h"
+
+namespace marjoramhall::app {
+
+class ForwardProcess {
+ public:
+  // `file` is read again on SIGHUP.
+  ForwardProcess(const settings::Settings& settings,
+                 std::filesystem::path file);
+  ~ForwardProcess();
+  ForwardProcess(const ForwardProcess&) = delete;
+  ForwardProcess& operator=(const ForwardProcess&) = delete;
+
+  // Opens all addresses and starts the threads. Returns an error that names the
+  // address, or an empty string.
+  std::string Open();
+
+  // Serves until SIGTERM or SIGINT; returns the exit code.
+  int Run();
+
+ private:
+  struct Impl;
+  std::unique_ptr<Impl> impl_;
+};
+
+}  // namespace marjoramhall::app
+
+#endif  // MARJORAMHALL_APP_FORWARD_PROCESS_H_
--- a/src/app/main.cc
+++ b/src/app/main.cc
@@ -7,6 +7,8 @@
 
 constexpr marjoramhall::app::Command kCommands[] = {
     {"run", "run a VM", marjoramhall::app::RunRun},
+    {"forward", "run a VM that forwards packets by token",
+     marjoramhall::app::RunForward},
     {"check", "check a settings file and its deployment",
      marjoramhall::app::RunCheck},
     {"status", "print revisions, VMs and targets",
--- /dev/null
+++ b/src/discovery/store_follower.cc
@@ -0,0 +1,92 @@
+// The loop of listing and watching.
+#include "src/discovery/store_follower.h"
+
+#include <algorithm>
+#include <iterator>
+#include <utility>
+
+namespace marjoramhall::discovery {
+
+StoreFollower::StoreFollower(FollowerOptions options,
+                             StoreReader reader,
+                             Hooks hooks)
+    : options_(options),
+      reader_(std::move(reader)),
+      hooks_(std::move(hooks)),
+      random_(options.seed | 1) {}
+
+void StoreFollower::Run() {
+  while (!hooks_.stopping()) {
+    Step();
+  }
+}
+
+void StoreFollower::Step() {
+  OnStatus(revision_ == 0 ? List() : Watch());
+}
+
+ReadStatus StoreFollower::List() {
+  std::vector<StoreChange> items;
+  std::string after;
+  uint64_t first_revision = 0;
+  for (;;) {
+    StoreRead page = reader_.list(after);
+    if (page.status != ReadStatus::kOk) {
+      return page.status;
+    }
+    std::move(page.changes.begin(), page.changes.end(),
+              std::back_inserter(items));
+    // Pages are no snapshot: what changed since the first is watched again.
+    if (first_revision == 0) {
+      first_revision = page.revision;
+    }
+    if (!page.has_more || page.last_key <= after) {
+      break;
+    }
+    after = page.last_key;
+  }
+  revision_ = first_revision;
+  hooks_.on_listing(std::move(items), first_revision);
+  return ReadStatus::kOk;
+}
+
+ReadStatus StoreFollower::Watch() {
+  StoreRead read = reader_.watch(revision_, options_.watch_wait);
+  if (read.status == ReadStatus::kHistoryGone) {
+    revision_ = 0;
+    return ReadStatus::kOk;
+  }
+  if (read.status != ReadStatus::kOk) {
+    return read.status;
+  }
+  revision_ = std::max(revision_, read.revision);
+  if (!read.changes.empty()) {
+    hooks_.on_changes(std::move(read.changes));
+    hooks_.sleep(options_.gather);
+  }
+  return ReadStatus::kOk;
+}
+
+void StoreFollower::OnStatus(ReadStatus status) {
+  const bool ok = status == ReadStatus::kOk;
+  if (ok != reachable_) {
+    reachable_ = ok;
+    hooks_.on_reachable(ok, status);
+  }
+  if (ok) {
+    pause_ = Duration{0};
+  } else {
+    hooks_.sleep(NextPause());
+  }
+}
+
+Duration StoreFollower::NextPause() {
+  pause_ = std::clamp(pause_ * 2, options_.first_pause, options_.largest_pause);
+  random_ ^= random_ << 13;
+  random_ ^= random_ >> 7;
+  random_ ^= random_ << 17;
+  const auto half = static_cast<uint64_t>(pause_.count() / 2);
+  return pause_ - Duration{static_cast<int64_t>((random_ >> 16) % (half + 1))};
+}
+
+}  // namespace marjoramhall::discovery
--- /dev/null
+++ b/src/discovery/store_follower.h
@@ -0,0 +1,100 @@
+// Follows the platform's store: one listing, then watches from its revision on,
+// and a new listing whenever the history has gone. Decides when to call, how
+// long to wait and when to start over; the calls themselves are hooks.
+#ifndef MARJORAMHALL_DISCOVERY_STORE_FOLLOWER_H_
+#define MARJORAMHALL_DISCOVERY_STORE_FOLLOWER_H_
+
+#include <cstdint>
+#include <functional>
+#include <string>
+#include <vector>
+
+#include "src/base/enum_names.h"
+#include "src/base/time.h"
+#include "src/discovery/records.h"
+
+namespace marjoramhall::discovery {
+
+enum class ReadStatus {
+  kOk,
+  kHistoryGone,  // the watched revision is no longer available
+  kRefused,      // the store answered that it does not serve this call now
+  kNoAnswer,     // no connection, no answer in time, or an unreadable one
+};
+inline constexpr EnumName<ReadStatus> kReadStatusNames[] = {
+    {ReadStatus::kOk, "ok"},
+    {ReadStatus::kHistoryGone, "history-gone"},
+    {ReadStatus::kRefused, "refused"},
+    {ReadStatus::kNoAnswer, "no-answer"},
+};
+constexpr std::span<const EnumName<ReadStatus>> NamesOf(ReadStatus) {
+  return kReadStatusNames;
+}
+
+struct StoreRead {
+  ReadStatus status = ReadStatus::kNoAnswer;
+  std::vector<StoreChange> changes;
+  uint64_t revision = 0;  // of the store; where the next watch begins
+  bool has_more = false;  // of a listing
+  std::string last_key;   // of a listing, for the next page
+};
+
+// Blocking calls. Each returns within its time limit.
+struct StoreReader {
+  std::function<StoreRead(const std::string& after_key)> list;
+  std::function<StoreRead(uint64_t after, Duration wait)> watch;
+};
+
+struct FollowerOptions {
+  // A watch without events ends after this; a connection that went silent is
+  // noticed a little later.
+  Duration watch_wait = std::chrono::seconds(2);
+  // Pause after a failed call: doubled up to the largest, each with a random
+  // part of up to a half.
+  Duration first_pause = std::chrono::milliseconds(50);
+  Duration largest_pause = std::chrono::milliseconds(800);
+  // Pause between a watch that brought events and the next one, so that changes
+  // in quick succession share a call.
+  Duration gather = std::chrono::milliseconds(20);
+  uint64_t seed = 1;
+};
+
+class StoreFollower {
+ public:
+  struct Hooks {
+    // A complete listing.
+    std::function<void(std::vector<StoreChange>, uint64_t revision)> on_listing;
+    // Changes after it, in order.
+    std::function<void(std::vector<StoreChange>)> on_changes;
+    // The store was lost or regained, with the status that showed it.
+    std::function<void(bool reachable, ReadStatus status)> on_reachable;
+    std::function<void(Duration)> sleep;
+    std::function<bool()> stopping;
+  };
+
+  StoreFollower(FollowerOptions options, StoreReader reader, Hooks hooks);
+
+  // Follows until `stopping` says so. Blocks.
+  void Run();
+
+  // One call and what follows from it. For tests.
+  void Step();
+
+ private:
+  ReadStatus List();
+  ReadStatus Watch();
+  void OnStatus(ReadStatus status);
+  Duration NextPause();
+
+  const FollowerOptions options_;
+  const StoreReader reader_;
+  const Hooks hooks_;
+  uint64_t revision_ = 0;  // 0: a listing is due
+  Duration pause_{0};      // the last pause after a failure
+  bool reachable_ = false;
+  uint64_t random_;
+};
+
+}  // namespace marjoramhall::discovery
+
+#endif  // MARJORAMHALL_DISCOVERY_STORE_FOLLOWER_H_
--- /dev/null
+++ b/src/discovery/target_registry.cc
@@ -0,0 +1,227 @@
+// States of targets by what the store says and how it stops saying it.
+#include "src/discovery/target_registry.h"
+
+#include <algorithm>
+#include <limits>
+#include <utility>
+
+namespace marjoramhall::discovery {
+
+using forward::TargetState;
+
+forward::TargetToken TokenOf(uint64_t instance) {
+  // Instance numbers are mostly below 2^32 and then stand for themselves, so
+  // that two targets cannot share a token.
+  const uint64_t folded = (instance & 0xffffffffU) ^ (instance >> 32);
+  return forward::TargetToken{folded == 0 ? 1 : static_cast<uint32_t>(folded)};
+}
+
+TargetRegistry::TargetRegistry(RegistryOptions options, DecisionHook decide)
+    : options_(std::move(options)), decide_(std::move(decide)) {}
+
+bool TargetRegistry::Apply(const StoreChange& change, TimePoint now) {
+  if (!change.fault.empty()) {
+    Decision decision;
+    decision.kind = DecisionKind::kConfiguration;
+    decision.revision = change.revision;
+    decision.outcome = "entry-ignored";
+    decision.reason = change.fault;
+    decision.detail = change.key;
+    decide_(decision);
+  }
+  if (change.is_target) {
+    return ApplyTarget(change, now);
+  }
+  return change.config && ApplyConfig(*change.config);
+}
+
+bool TargetRegistry::ApplyListing(const std::vector<StoreChange>& items,
+                                  uint64_t revision,
+                                  TimePoint now) {
+  bool changed = false;
+  std::set<std::string> present;
+  for (const StoreChange& it : items) {
+    present.insert(it.key);
+    changed |= Apply(it, now);
+  }
+  for (auto& [key, entry] : targets_) {
+    if (present.contains(key) || entry.revision > revision) {
+      continue;
+    }
+    StoreChange removal;
+    removal.key = key;
+    removal.revision = std::max(revision, entry.revision + 1);
+    removal.removed = true;
+    removal.is_target = true;
+    changed |= ApplyTarget(removal, now);
+  }
+  return changed;
+}
+
+bool TargetRegistry::ApplyTarget(const StoreChange& change, TimePoint now) {
+  const auto it = targets_.find(change.key);
+  if (it != targets_.end() && change.revision <= it->second.revision) {
+    return false;
+  }
+  if (!change.target) {
+    if (it == targets_.end()) {
+      return false;
+    }
+    Entry& entry = it->second;
+    entry.revision = change.revision;
+    const TargetState before = entry.state;
+    if (!change.removed) {
+      Retire(entry, "unreadable", now);
+    } else if (before == TargetState::kDraining) {
+      Retire(entry, "left", now);
+    } else if (before == TargetState::kActive) {
+      SetState(entry, TargetState::kLapsed, "entry-vanished", now);
+    }
+    return entry.state != before;
+  }
+  Entry& entry = targets_[change.key];
+  const TargetRecord& next = *change.target;
+  entry.record = next;
+  entry.revision = change.revision;
+  entry.warm_at = now + next.warmup_left;
+  SetState(entry, next.draining ? TargetState::kDraining : TargetState::kActive,
+           it == targets_.end() ? "joined" : "entry-changed", now);
+  IdOf(next.service);
+  RetireFormerUsers(entry, now);
+  return true;
+}
+
+void TargetRegistry::RetireFormerUsers(const Entry& user, TimePoint now) {
+  for (auto& [key, entry] : targets_) {
+    if (&entry != &user && entry.record.address == user.record.address &&
+        entry.record.born_ms <= user.record.born_ms) {
+      Retire(entry, "address-reused", now);
+    }
+  }
+}
+
+void TargetRegistry::Retire(Entry& entry,
+                            std::string_view reason,
+                            TimePoint now) {
+  if (entry.state != TargetState::kRetired) {
+    SetState(entry, TargetState::kRetired, reason, now);
+  }
+}
+
+void TargetRegistry::SetState(Entry& entry,
+                              TargetState state,
+                              std::string_view reason,
+                              TimePoint now) {
+  entry.state = state;
+  entry.changed_at = now;
+  Decision decision;
+  decision.kind = DecisionKind::kTargetHealth;
+  decision.service = IdOf(entry.record.service);
+  decision.target =
+      TargetId{static_cast<uint32_t>(TokenOf(entry.record.instance))};
+  decision.revision = entry.revision;
+  decision.outcome = NameOf(state);
+  decision.reason = reason;
+  decision.detail = entry.record.id;
+  decide_(decision);
+}
+
+bool TargetRegistry::ApplyConfig(const ConfigRecord& config) {
+  if (config.version <= config_.version) {
+    return false;
+  }
+  config_ = config;
+  for (const RouteRecord& route : config_.routes) {
+    for (const ShareRecord& share : route.shares) {
+      IdOf(share.service);
+    }
+  }
+  Decision decision;
+  decision.kind = DecisionKind::kConfiguration;
+  decision.revision = config.version;
+  decision.outcome = "in-force";
+  decision.detail = std::to_string(config.routes.size()) + " routes";
+  decide_(decision);
+  return true;
+}
+
+bool TargetRegistry::Tick(TimePoint now) {
+  bool changed = false;
+  for (auto it = targets_.begin(); it != targets_.end();) {
+    Entry& entry = it->second;
+    if (entry.state == TargetState::kLapsed &&
+        now - entry.changed_at >= options_.lapse_grace) {
+      Retire(entry, "entry-stayed-away", now);
+      changed = true;
+    }
+    if (entry.state == TargetState::kRetired &&
+        now - entry.changed_at >= options_.retention) {
+      it = targets_.erase(it);
+      changed = true;
+    } else {
+      ++it;
+    }
+  }
+  return changed;
+}
+
+ServiceId TargetRegistry::IdOf(const std::string& service) {
+  const auto next = ServiceId{static_cast<uint32_t>(services_.size() + 1)};
+  return services_.try_emplace(service, next).first->second;
+}
+
+ServiceId TargetRegistry::FindService(const std::string& service) const {
+  const auto it = services_.find(service);
+  return it == services_.end() ? ServiceId::kNone : it->second;
+}
+
+forward::ViewPtr TargetRegistry::MakeView() const {
+  auto view = std::make_shared<forward::View>();
+  view->config_version = config_.version;
+  view->flow_idle_timeout = config_.flow_idle_timeout;
+  for (const RouteRecord& it : config_.routes) {
+    forward::Route route;
+    route.name = it.name;
+    route.repeatability = it.repeatability;
+    route.priority = it.priority;
+    route.timeout = it.timeout;
+    route.latency_objective = it.latency_objective;
+    for (const ShareRecord& share : it.shares) {
+      route.services.push_back({FindService(share.service), share.weight});
+    }
+    view->routes[forward::RouteKeyOf(it.address.address.ToV4(),
+                                     it.address.port)] = std::move(route);
+  }
+  // A token that two targets share goes to the one that came first; the other
+  // gets no flows.
+  std::set<forward::TargetToken> taken;
+  const auto add = [&](const Entry& entry) {
+    const auto token = TokenOf(entry.record.instance);
+    if (!taken.insert(token).second) {
+      return;
+    }
+    forward::Target target;
+    target.token = token;
+    target.instance = entry.record.instance;
+    target.id = entry.record.id;
+    target.service = FindService(entry.record.service);
+    target.address = entry.record.address.address.ToV4();
+    target.port = entry.record.address.port;
+    target.in_own_domain =
+        entry.record.failure_domain == options_.failure_domain;
+    target.slots = std::max(entry.record.slots, uint32_t{1});
+    target.state = entry.state;
+    target.warm_at = entry.warm_at;
+    view->targets.push_back(std::move(target));
+  };
+  for (const bool retired : {false, true}) {
+    for (const auto& [key, entry] : targets_) {
+      if ((entry.state == TargetState::kRetired) == retired) {
+        add(entry);
+      }
+    }
+  }
+  return view;
+}
+
+}  // namespace marjoramhall::discovery
--- /dev/null
+++ b/src/forward/forwarder.cc
@@ -0,0 +1,311 @@
+// Placement of openings, delivery by token, and observation of targets.
+#include "src/forward/forwarder.h"
+
+#include <algorithm>
+#include <cstring>
+#include <utility>
+
+namespace marjoramhall::forward {
+namespace {
+
+// A target that answered within this time is taken to be alive: an opening
+// without an answer was then lost on the way and goes to the same target.
+constexpr Duration kRecentAnswer = std::chrono::milliseconds(300);
+// Weight of a new response time in the smoothed ones.
+constexpr double kTargetSmoothing = 0.15;
+constexpr double kRouteSmoothing = 0.02;
+// One straggler must not mark its target as slow.
+constexpr double kLargestRatio = 4.0;
+constexpr double kLeastSlowness = 0.8;
+
+}  // namespace
+
+Forwarder::Forwarder(ForwarderOptions options,
+                     Resend resend,
+                     DecisionHook decide)
+    : resend_(std::move(resend)),
+      decide_(std::move(decide)),
+      picker_(options.picker, options.seed),
+      flows_(options.tracked_flows) {}
+
+void Forwarder::OnView(ViewPtr view) {
+  view_ = std::move(view);
+  targets_.Replace(*view_);
+}
+
+PacketVerdict Forwarder::OnPacket(const PacketHeader& header,
+                                  std::span<const uint8_t> datagram,
+                                  TimePoint now) {
+  ++counters_.packets;
+  if (view_ == nullptr || view_->config_version == 0) {
+    return Refuse(header, Reason::kNoView);
+  }
+  return header.syn ? OnOpening(header, datagram, now)
+                    : OnLaterPacket(header, now);
+}
+
+PacketVerdict Forwarder::Refuse(const PacketHeader& header, Reason reason) {
+  ++counters_.refused[static_cast<size_t>(reason)];
+  PacketVerdict verdict;
+  verdict.reason = reason;
+  // Only an opening is reset: the flow may be open otherwise, and its target
+  // alive.
+  if (header.syn && reason != Reason::kNoView) {
+    verdict.action = PacketAction::kReset;
+    verdict.reset_sequence = header.acknowledged;
+  }
+  Decision decision;
+  decision.kind = verdict.action == PacketAction::kReset
+                      ? DecisionKind::kRefuseRequest
+                      : DecisionKind::kDropPacket;
+  decision.subject = HashOf(header.flow);
+  decision.target = TargetId{static_cast<uint32_t>(header.token)};
+  decision.revision = view_ == nullptr ? 0 : view_->config_version;
+  decision.outcome =
+      verdict.action == PacketAction::kReset ? "reset" : "dropped";
+  decision.reason = NameOf(reason);
+  decide_(decision);
+  return verdict;
+}
+
+ServiceId Forwarder::ChooseService(const Route& route,
+                                   const FlowKey& key) const {
+  uint64_t total = 0;
+  for (const ServiceShare& it : route.services) {
+    total += it.weight;
+  }
+  // By the flow's hash, so that every VM chooses alike for copies of a packet.
+  uint64_t at = total == 0 ? 0 : HashOf(key) % total;
+  for (const ServiceShare& it : route.services) {
+    if (at < it.weight) {
+      return it.service;
+    }
+    at -= it.weight;
+  }
+  return ServiceId::kNone;
+}
+
+PacketVerdict Forwarder::OnOpening(const PacketHeader& header,
+                                   std::span<const uint8_t> datagram,
+                                   TimePoint now) {
+  ++counters_.openings;
+  const uint64_t key =
+      RouteKeyOf(header.flow.service_address, header.flow.service_port);
+  if (!view_->routes.contains(key)) {
+    return Refuse(header, Reason::kNoRoute);
+  }
+  TrackedFlow* flow = flows_.Find(header.flow);
+  TrackedFlow untracked;
+  if (flow == nullptr) {
+    flow = flows_.Add(header.flow, now);
+    if (flow == nullptr) {
+      flow = &untracked;
+    }
+    flow->route = key;
+    if (datagram.size() == kBarePacketBytes) {
+      std::memcpy(flow->opening.data(), datagram.data(), kBarePacketBytes);
+    }
+  } else if (flow->phase != FlowPhase::kOpening) {
+    // A late copy: the client has had an answer.
+    if (const TargetEntry* entry = targets_.Find(flow->token)) {
+      return {PacketAction::kForward, &entry->target};
+    }
+  } else {
+    CountUnanswered(*flow, now);
+  }
+  TargetEntry* entry = Place(header.flow, *flow, now);
+  if (entry == nullptr) {
+    flows_.Remove(header.flow);
+    return Refuse(header, Reason::kNoTarget);
+  }
+  if (flow == &untracked) {
+    Release(untracked);  // nothing would release it later
+  }
+  return {PacketAction::kForward, &entry->target};
+}
+
+TargetEntry* Forwarder::Place(const FlowKey& key,
+                              TrackedFlow& flow,
+                              TimePoint now) {
+  const auto route = view_->routes.find(flow.route);
+  if (route == view_->routes.end()) {
+    return nullptr;
+  }
+  const std::span<const TargetToken> tried(flow.tried.data(), flow.tries);
+  TargetEntry* entry = nullptr;
+  if (flow.tries > 0) {
+    // Lost on the way rather than not answered.
+    TargetEntry* last = targets_.Find(flow.token);
+    if (last != nullptr && flow.tries == 1 &&
+        TakesNewFlows(last->target.state) &&
+        now - last->last_answer < kRecentAnswer) {
+      entry = last;
+    }
+  }
+  if (entry == nullptr) {
+    entry = picker_.Pick(targets_, ChooseService(route->second, key),
+                         {tried, !tried.empty()}, now);
+  }
+  if (entry == nullptr) {
+    return nullptr;
+  }
+  Release(flow);
+  flow.token = entry->target.token;
+  flow.sent = now;
+  if (flow.tries < kMaxTries) {
+    flow.tried[flow.tries++] = flow.token;
+    flows_.Schedule(key, now + kAnswerTimeout);
+  }
+  ++entry->outstanding;
+  counters_.placed += flow.tries == 1 ? 1 : 0;
+  LogPlacement(key, flow, entry->target,
+               flow.tries == 1 ? Reason::kNone : Reason::kUnanswered);
+  return entry;
+}
+
+void Forwarder::LogPlacement(const FlowKey& key,
+                             const TrackedFlow& flow,
+                             const Target& target,
+                             Reason reason) {
+  Decision decision;
+  decision.kind = DecisionKind::kRouteFlow;
+  decision.subject = HashOf(key);
+  decision.service = target.service;
+  decision.target = TargetId{static_cast<uint32_t>(target.token)};
+  decision.revision = view_->config_version;
+  decision.outcome = flow.tries == 1 ? "placed" : "repeated";
+  decision.reason = reason == Reason::kNone ? "least-loaded" : NameOf(reason);
+  decision.detail = target.id;
+  decide_(decision);
+}
+
+void Forwarder::CountUnanswered(TrackedFlow& flow, TimePoint now) {
+  if (now - flow.sent < kAnswerTimeout) {
+    return;
+  }
+  TargetEntry* entry = targets_.Find(flow.token);
+  if (entry != nullptr && entry->last_answer < flow.sent) {
+    ++entry->unanswered;
+    if (entry->unanswered == kSuspectAfter) {
+      entry->last_probe = now;
+      Decision decision;
+      decision.kind = DecisionKind::kTargetHealth;
+      decision.service = entry->target.service;
+      decision.target = TargetId{static_cast<uint32_t>(entry->target.token)};
+      decision.revision = view_->config_version;
+      decision.outcome = "suspect";
+      decision.reason = NameOf(Reason::kUnanswered);
+      decision.detail = entry->target.id;
+      decide_(decision);
+    }
+  }
+}
+
+void Forwarder::RepeatOpening(const FlowKey& key,
+                              TrackedFlow& flow,
+                              TimePoint now) {
+  if (now - flow.sent < kAnswerTimeout || flow.opening[0] == 0) {
+    return;
+  }
+  CountUnanswered(flow, now);
+  if (flow.tries >= kMaxTries) {
+    return;
+  }
+  if (const TargetEntry* entry = Place(key, flow, now)) {
+    ++counters_.repeated;
+    resend_(flow.opening, entry->target);
+  }
+}
+
+PacketVerdict Forwarder::OnLaterPacket(const PacketHeader& header,
+                                       TimePoint now) {
+  TargetEntry* entry = targets_.Find(header.token);
+  if (entry == nullptr) {
+    return Refuse(header,
+                  header.reset ? Reason::kForeignReset : Reason::kUnknownToken);
+  }
+  Observe(header, *entry, now);
+  return {PacketAction::kForward, &entry->target};
+}
+
+void Forwarder::Observe(const PacketHeader& header,
+                        TargetEntry& entry,
+                        TimePoint now) {
+  TrackedFlow* flow = flows_.Find(header.flow);
+  const bool ends = header.fin || header.reset;
+  if (flow == nullptr) {
+    if (ends || header.data_bytes == 0) {
+      return;
+    }
+    // The flow came from another VM, or was idle for long.
+    flow = flows_.Add(header.flow, now);
+    if (flow == nullptr) {
+      return;
+    }
+    flow->token = header.token;
+    flow->phase = FlowPhase::kAnswered;
+    flow->route =
+        RouteKeyOf(header.flow.service_address, header.flow.service_port);
+  }
+  if (flow->phase == FlowPhase::kOpening) {
+    ++counters_.answered;
+    entry.unanswered = 0;
+    entry.last_answer = now;
+    if (flow->token != header.token) {
+      Release(*flow);
+      flow->token = header.token;
+      ++entry.outstanding;
+    }
+    flow->phase = FlowPhase::kWorking;
+    flow->worked = now;
+    flow->first_ack = header.acknowledged;
+  } else if (flow->phase == FlowPhase::kAnswered && header.data_bytes > 0 &&
+             !ends) {
+    ++entry.outstanding;
+    flow->phase = FlowPhase::kWorking;
+    flow->worked = now;
+    flow->first_ack = header.acknowledged;
+  } else if (flow->phase == FlowPhase::kWorking &&
+             (header.acknowledged != flow->first_ack || header.fin)) {
+    OnResponse(*flow, now);
+  }
+  if (ends) {
+    Release(*flow);
+    flows_.Remove(header.flow);
+  }
+}
+
+void Forwarder::OnResponse(TrackedFlow& flow, TimePoint now) {
+  ++counters_.requests;
+  const double micros = static_cast<double>((now - flow.worked).count());
+  double& usual = usual_time_[flow.route];
+  usual = usual == 0 ? micros : usual + kRouteSmoothing * (micros - usual);
+  if (TargetEntry* entry = targets_.Find(flow.token)) {
+    entry->last_answer = now;
+    const double ratio = std::min(micros / std::max(usual, 1.0), kLargestRatio);
+    entry->slowness = std::max(
+        kLeastSlowness,
+        entry->slowness + kTargetSmoothing * (ratio - entry->slowness));
+  }
+  Release(flow);
+  flow.phase = FlowPhase::kAnswered;
+}
+
+void Forwarder::Release(TrackedFlow& flow) {
+  if (flow.phase == FlowPhase::kAnswered || flow.token == TargetToken::kNone) {
+    return;
+  }
+  if (TargetEntry* entry = targets_.Find(flow.token);
+      entry != nullptr && entry->outstanding > 0) {
+    --entry->outstanding;
+  }
+}
+
+void Forwarder::OnTick(TimePoint now) {
+  flows_.RunChecks(now, [&](const FlowKey& key, TrackedFlow& flow) {
+    RepeatOpening(key, flow, now);
+  });
+  flows_.Expire(now, [&](const FlowKey&, TrackedFlow& flow) { Release(flow); });
+}
+
+}  // namespace marjoramhall::forward
--- /dev/null
+++ b/src/forward/forwarder.h
@@ -0,0 +1,126 @@
+// The decision core of packet forwarding: takes packets with a time, returns
+// where each goes. Later packets of a flow carry the token of their target, so
+// VMs share no state of flows.
+#ifndef MARJORAMHALL_FORWARD_FORWARDER_H_
+#define MARJORAMHALL_FORWARD_FORWARDER_H_
+
+#include <cstdint>
+#include <functional>
+#include <span>
+#include <unordered_map>
+
+#include "src/base/decision.h"
+#include "src/base/time.h"
+#include "src/forward/flow_tracker.h"
+#include "src/forward/packet.h"
+#include "src/forward/target_picker.h"
+#include "src/forward/target_table.h"
+#include "src/forward/view.h"
+
+namespace marjoramhall::forward {
+
+enum class PacketAction { kForward, kReset, kDrop };
+
+// Why a packet was not forwarded, or an opening sent again.
+enum class Reason {
+  kNone,
+  kNoView,        // this VM has no configuration yet
+  kNoRoute,       // no route has this address
+  kNoTarget,      // no target of the service takes new flows
+  kUnknownToken,  // the token names no known target
+  kForeignReset,  // a reset of a client that names no target
+  kUnanswered,    // the target did not answer the opening
+  kCount,
+};
+inline constexpr EnumName<Reason> kReasonNames[] = {
+    {Reason::kNone, "none"},
+    {Reason::kNoView, "no-view"},
+    {Reason::kNoRoute, "no-route"},
+    {Reason::kNoTarget, "no-target"},
+    {Reason::kUnknownToken, "unknown-token"},
+    {Reason::kForeignReset, "reset-without-target"},
+    {Reason::kUnanswered, "unanswered"},
+};
+constexpr std::span<const EnumName<Reason>> NamesOf(Reason) {
+  return kReasonNames;
+}
+
+struct PacketVerdict {
+  PacketAction action = PacketAction::kDrop;
+  const Target* target = nullptr;  // of kForward; valid until the next view
+  uint32_t reset_sequence = 0;     // of kReset
+  Reason reason = Reason::kNone;
+};
+
+struct ForwardCounters {
+  uint64_t packets = 0;
+  uint64_t openings = 0;  // first packets of flows, copies included
+  uint64_t placed = 0;    // flows that were given a target
+  uint64_t repeated = 0;  // openings sent again by this VM
+  uint64_t answered = 0;  // openings whose target answered
+  uint64_t requests = 0;  // requests whose response began
+  std::array<uint64_t, static_cast<size_t>(Reason::kCount)> refused{};
+};
+
+struct ForwarderOptions {
+  PickerOptions picker;
+  size_t tracked_flows = 16'384;
+  uint64_t seed = 1;
+};
+
+class Forwarder {
+ public:
+  // Sends an opening to a target once more.
+  using Resend = std::function<void(const BarePacket& opening, const Target&)>;
+
+  Forwarder(ForwarderOptions options, Resend resend, DecisionHook decide);
+
+  void OnView(ViewPtr view);
+
+  // Decides about one packet; `datagram` is the packet as it stands on the
+  // wire. Cost: two hash lookups, and for an opening one pass over the targets
+  // of the service.
+  PacketVerdict OnPacket(const PacketHeader& header,
+                         std::span<const uint8_t> datagram,
+                         TimePoint now);
+
+  // Repeats unanswered openings and forgets old flows. To be called after all
+  // waiting packets have been handed in, at least every 20 ms.
+  void OnTick(TimePoint now);
+
+  const ForwardCounters& counters() const { return counters_; }
+  size_t tracked() const { return flows_.size(); }
+  TargetTable& targets() { return targets_; }
+
+ private:
+  PacketVerdict OnOpening(const PacketHeader& header,
+                          std::span<const uint8_t> datagram,
+                          TimePoint now);
+  PacketVerdict OnLaterPacket(const PacketHeader& header, TimePoint now);
+  PacketVerdict Refuse(const PacketHeader& header, Reason reason);
+  ServiceId ChooseService(const Route& route, const FlowKey& key) const;
+  TargetEntry* Place(const FlowKey& key, TrackedFlow& flow, TimePoint now);
+  void RepeatOpening(const FlowKey& key, TrackedFlow& flow, TimePoint now);
+  void CountUnanswered(TrackedFlow& flow, TimePoint now);
+  void Observe(const PacketHeader& header, TargetEntry& entry, TimePoint now);
+  void OnResponse(TrackedFlow& flow, TimePoint now);
+  void Release(TrackedFlow& flow);
+  void LogPlacement(const FlowKey& key,
+                    const TrackedFlow& flow,
+                    const Target& target,
+                    Reason reason);
+
+  const Resend resend_;
+  const DecisionHook decide_;
+  TargetPicker picker_;
+  ViewPtr view_;
+  TargetTable targets_;
+  FlowTracker flows_;
+  // Usual response time of a route in microseconds, smoothed.
+  std::unordered_map<uint64_t, double> usual_time_;
+  ForwardCounters counters_;
+};
+
+}  // namespace marjoramhall::forward
+
+#endif  // MARJORAMHALL_FORWARD_FORWARDER_H_
--- a/src/net/flow_path_socket.cc
+++ b/src/net/flow_path_socket.cc
@@ -1,6 +1,7 @@
 // Batched UDP input and output.
 #include "src/net/flow_path_socket.h"
 
+#include <poll.h>
 #include <unistd.h>
 
 #include <algorithm>
@@ -150,6 +151,11 @@
   return n > 0 ? static_cast<size_t>(n) : 0;
 }
 
+bool UdpSocket::WaitReadable(std::chrono::milliseconds limit) const {
+  pollfd waited{fd_, POLLIN, 0};
+  return poll(&waited, 1, static_cast<int>(limit.count())) > 0;
+}
+
 size_t UdpSocket::Send(SendBatch& batch) {
   size_t sent = 0;
   size_t failed = 0;
--- a/src/net/flow_path_socket.h
+++ b/src/net/flow_path_socket.h
@@ -6,6 +6,7 @@
 #include <sys/socket.h>
 #include <sys/uio.h>
 
+#include <chrono>
 #include <cstddef>
 #include <cstdint>
 #include <memory>
@@ -31,6 +32,10 @@
   std::span<const uint8_t> Datagram(size_t i) const {
     return {buffers_.data() + i * kMaxDatagram, headers_[i].msg_len};
   }
+  // The same bytes, to be changed in place before they are sent on.
+  std::span<uint8_t> Mutable(size_t i) {
+    return {buffers_.data() + i * kMaxDatagram, headers_[i].msg_len};
+  }
   bool IsTruncated(size_t i) const {
     return (headers_[i].msg_hdr.msg_flags & MSG_TRUNC) != 0;
   }
@@ -94,6 +99,9 @@
   // Receives up to kUdpBatch datagrams without waiting; returns their number.
   size_t Receive(ReceiveBatch& batch);
 
+  // Waits up to `limit` for a datagram. Returns whether there is one.
+  bool WaitReadable(std::chrono::milliseconds limit) const;
+
   // Sends and empties the batch. Returns how many datagrams the system refused.
   size_t Send(SendBatch& batch);
 
--- /dev/null
+++ b/src/net/packet_path.cc
@@ -0,0 +1,206 @@
+// The loop of the traffic thread.
+#include "src/net/packet_path.h"
+
+#include <array>
+#include <atomic>
+#include <chrono>
+#include <deque>
+#include <mutex>
+#include <thread>
+#include <utility>
+
+#include "src/base/time.h"
+#include "src/net/flow_path_socket.h"
+
+namespace marjoramhall::net {
+namespace {
+
+// How long the thread waits for packets before it looks at its timers.
+constexpr auto kLargestWait = std::chrono::milliseconds(20);
+constexpr Duration kStatsInterval = std::chrono::milliseconds(20);
+
+}  // namespace
+
+class PacketPath::Impl {
+ public:
+  Impl(PacketPathOptions options,
+       forward::PacketCodec codec,
+       DecisionHook decide)
+      : options_(options),
+        codec_(std::move(codec)),
+        forwarder_(
+            options.forwarder,
+            [this](const forward::BarePacket& opening,
+                   const forward::Target& target) { Resend(opening, target); },
+            std::move(decide)) {}
+
+  ~Impl() {
+    stopping_ = true;
+    if (thread_.joinable()) {
+      thread_.join();
+    }
+  }
+  Impl(const Impl&) = delete;
+  Impl& operator=(const Impl&) = delete;
+
+  std::string Open() {
+    std::string error = socket_.Open(options_.listen);
+    if (error.empty()) {
+      thread_ = std::thread([this] { Run(); });
+    }
+    return error;
+  }
+
+  void PostView(forward::ViewPtr view) {
+    const std::lock_guard lock(mutex_);
+    next_view_ = std::move(view);
+    has_next_view_ = true;
+  }
+
+  PacketStats Snapshot() const {
+    const std::lock_guard lock(mutex_);
+    return published_;
+  }
+
+ private:
+  void Run() {
+    while (!stopping_) {
+      socket_.WaitReadable(kLargestWait);
+      TakeView();
+      size_t n = 0;
+      do {
+        n = socket_.Receive(received_);
+        const TimePoint now = SteadyNow();
+        for (size_t i = 0; i < n; ++i) {
+          OnDatagram(i, now);
+        }
+        Flush();
+      } while (n == kUdpBatch);
+      const TimePoint now = SteadyNow();
+      forwarder_.OnTick(now);
+      Flush();
+      Publish(now);
+    }
+  }
+
+  void TakeView() {
+    if (!has_next_view_) {
+      return;
+    }
+    forward::ViewPtr view;
+    {
+      const std::lock_guard lock(mutex_);
+      view = std::move(next_view_);
+      has_next_view_ = false;
+    }
+    forwarder_.OnView(std::move(view));
+  }
+
+  void OnDatagram(size_t i, TimePoint now) {
+    const std::span<uint8_t> datagram = received_.Mutable(i);
+    forward::PacketHeader header;
+    if (received_.IsTruncated(i) || !codec_.decode(datagram, &header)) {
+      ++stats_.malformed;
+      return;
+    }
+    const auto verdict = forwarder_.OnPacket(header, datagram, now);
+    switch (verdict.action) {
+      case forward::PacketAction::kForward:
+        codec_.set_token(datagram, verdict.target->token);
+        SendToTarget(datagram, *verdict.target);
+        break;
+      case forward::PacketAction::kReset: {
+        const Endpoint client{IpAddress::FromV4(header.flow.client_address),
+                              options_.client_port};
+        Send(client, codec_.reset(header.flow, verdict.reset_sequence), {});
+        break;
+      }
+      case forward::PacketAction::kDrop:
+        break;
+    }
+  }
+
+  void Resend(const forward::BarePacket& opening,
+              const forward::Target& target) {
+    forward::BarePacket& packet = repeated_.emplace_back(opening);
+    codec_.set_token(packet, target.token);
+    SendToTarget(packet, target);
+  }
+
+  void SendToTarget(std::span<const uint8_t> packet,
+                    const forward::Target& target) {
+    const Endpoint to{IpAddress::FromV4(target.address), target.port};
+    Send(to, codec_.prefix(target.instance), packet);
+  }
+
+  void Send(const Endpoint& to,
+            std::span<const uint8_t> header,
+            std::span<const uint8_t> payload) {
+    if (batch_.IsFull()) {
+      stats_.send_failed += socket_.Send(batch_);
+    }
+    batch_.Add(to, header, payload);
+  }
+
+  void Flush() {
+    if (batch_.size() > 0) {
+      stats_.send_failed += socket_.Send(batch_);
+    }
+    repeated_.clear();
+  }
+
+  void Publish(TimePoint now) {
+    if (now - published_at_ < kStatsInterval) {
+      return;
+    }
+    published_at_ = now;
+    stats_.counters = forwarder_.counters();
+    stats_.tracked_flows = forwarder_.tracked();
+    const std::lock_guard lock(mutex_);
+    published_ = stats_;
+  }
+
+  const PacketPathOptions options_;
+  const forward::PacketCodec codec_;
+  UdpSocket socket_;
+  forward::Forwarder forwarder_;
+  ReceiveBatch received_;
+  SendBatch batch_;
+  // Openings in batch_ that are no received datagrams. A deque, since the batch
+  // points into it.
+  std::deque<forward::BarePacket> repeated_;
+  PacketStats stats_;
+  TimePoint published_at_;
+
+  mutable std::mutex mutex_;
+  // Guarded by mutex_.
+  forward::ViewPtr next_view_;
+  PacketStats published_;
+
+  std::atomic<bool> has_next_view_{false};
+  std::atomic<bool> stopping_{false};
+  std::thread thread_;
+};
+
+PacketPath::PacketPath(PacketPathOptions options,
+                       forward::PacketCodec codec,
+                       DecisionHook decide)
+    : impl_(std::make_unique<Impl>(options,
+                                   std::move(codec),
+                                   std::move(decide))) {}
+
+PacketPath::~PacketPath() = default;
+
+std::string PacketPath::Open() {
+  return impl_->Open();
+}
+
+void PacketPath::PostView(forward::ViewPtr view) {
+  impl_->PostView(std::move(view));
+}
+
+PacketStats PacketPath::Snapshot() const {
+  return impl_->Snapshot();
+}
+
+}  // namespace marjoramhall::net
--- /dev/null
+++ b/src/net/packet_path.h
@@ -0,0 +1,63 @@
+// The traffic thread of token forwarding: takes packets from the fabric, asks
+// forward::Forwarder about each and sends them on in batches.
+//
+// A straight loop over one socket: it makes three system calls a wake-up, where
+// a reactor needs five, and small VMs spend most of their processor time on
+// these.
+#ifndef MARJORAMHALL_NET_PACKET_PATH_H_
+#define MARJORAMHALL_NET_PACKET_PATH_H_
+
+#include <cstdint>
+#include <memory>
+#include <string>
+
+#include "src/base/decision.h"
+#include "src/base/endpoint.h"
+#include "src/forward/forwarder.h"
+#include "src/forward/packet.h"
+#include "src/forward/view.h"
+
+namespace marjoramhall::net {
+
+struct PacketPathOptions {
+  Endpoint listen;
+  // Port at which clients take packets.
+  uint16_t client_port = 0;
+  forward::ForwarderOptions forwarder;
+};
+
+// Copy of the counters, taken every 20 ms.
+struct PacketStats {
+  forward::ForwardCounters counters;
+  uint64_t malformed = 0;    // datagrams that are no packets
+  uint64_t send_failed = 0;  // refused by the system
+  size_t tracked_flows = 0;
+};
+
+class PacketPath {
+ public:
+  // `decide` is called on the traffic thread.
+  PacketPath(PacketPathOptions options,
+             forward::PacketCodec codec,
+             DecisionHook decide);
+  // Stops the thread.
+  ~PacketPath();
+  PacketPath(const PacketPath&) = delete;
+  PacketPath& operator=(const PacketPath&) = delete;
+
+  // Binds the socket and starts the thread. Returns an error that names the
+  // address, or an empty string.
+  std::string Open();
+
+  // Both are safe from any thread.
+  void PostView(forward::ViewPtr view);
+  PacketStats Snapshot() const;
+
+ private:
+  class Impl;
+  std::unique_ptr<Impl> impl_;
+};
+
+}  // namespace marjoramhall::net
+
+#endif  // MARJORAMHALL_NET_PACKET_PATH_H_
--- a/src/observe/decision_log.cc
+++ b/src/observe/decision_log.cc
@@ -127,6 +127,9 @@
     if (options.sink) {
       return std::make_shared<FunctionSink>(options.sink);
     }
+    if (options.path.empty() && options.standard_output) {
+      return std::make_shared<spdlog::sinks::stdout_sink_mt>();
+    }
     if (options.path.empty()) {
       return std::make_shared<spdlog::sinks::stderr_sink_mt>();
     }
--- a/src/observe/decision_log.h
+++ b/src/observe/decision_log.h
@@ -17,7 +17,9 @@
 
 struct DecisionLogOptions {
   std::string vm;              // name of this VM, on every line
-  std::filesystem::path path;  // appended to; empty: standard error
+  std::filesystem::path path;  // appended to; empty: a standard stream
+  // The stream of an empty path: standard output instead of standard error.
+  bool standard_output = false;
   LogLevel level = LogLevel::kInfo;
   DecisionLogging decisions = DecisionLogging::kAll;
   size_t queue_lines = 8192;  // about 400 bytes each, allocated at Open()
--- a/src/settings/load.cc
+++ b/src/settings/load.cc
@@ -136,6 +136,8 @@
     return {{"flow", "listen", s.flow.listen, true},
             {"flow", "hop_listen", s.flow.hop_listen, true},
             {"request", "listen", s.request.listen, false},
+            {"forward", "listen", s.forward.listen, true},
+            {"forward", "status", s.forward.status, false},
             {"control", "listen", s.control.listen, false},
             {"operators", "listen", s.operators.listen, false}};
   }
--- a/src/settings/settings.h
+++ b/src/settings/settings.h
@@ -52,6 +52,12 @@
   Endpoint listen = Loopback(8080);  // HTTP/2 over TCP
 };
 
+// `marjoramhall forward`: packets whose targets are told by tokens.
+struct ForwardSettings {
+  Endpoint listen = Loopback(6082);  // packets from the fabric, UDP
+  Endpoint status = Loopback(6083);  // readiness and metrics, HTTP over TCP
+};
+
 struct ControlSettings {
   Endpoint listen = Loopback(7070);  // ZeroMQ over TCP
   std::vector<Endpoint> seeds;       // control addresses of other VMs
@@ -94,6 +100,7 @@
   VmSettings vm;
   FlowSettings flow;
   RequestSettings request;
+  ForwardSettings forward;
   ControlSettings control;
   OperatorSettings operators;
   StoreSettings store;
