--- /dev/null
+++ b/src/app/forward_metrics.cc
@@ -0,0 +1,70 @@
+// Names and help texts.
+#include "src/app/forward_metrics.h"
+
+#include <string>
+
+namespace marjoramhall::app {
+namespace {
+
+double ToDouble(uint64_t value) {
+  return static_cast<double>(value);
+}
+
+}  // namespace
+
+void AddForwardMetrics(observe::MetricsRegistry& registry,
+                       const std::function<net::PacketStats()>& packets,
+                       const ForwardGauges& gauges) {
+  using Counters = forward::ForwardCounters;
+  const std::pair<const char*, uint64_t Counters::*> events[] = {
+      {"packet", &Counters::packets},    {"opening", &Counters::openings},
+      {"placed", &Counters::placed},     {"repeated", &Counters::repeated},
+      {"answered", &Counters::answered}, {"response", &Counters::requests}};
+  for (const auto& [label, member] : events) {
+    registry.AddCounterValue("marjoramhall_forward_events_total",
+                             "Events of forwarding by kind.",
+                             [packets, member = member] {
+                               return ToDouble(packets().counters.*member);
+                             },
+                             {{"event", label}});
+  }
+  for (const auto& it : forward::kReasonNames) {
+    if (it.value == forward::Reason::kNone ||
+        it.value == forward::Reason::kUnanswered) {
+      continue;
+    }
+    registry.AddCounterValue("marjoramhall_forward_refused_total",
+                             "Packets reset or dropped by reason.",
+                             [packets, i = static_cast<size_t>(it.value)] {
+                               return ToDouble(packets().counters.refused[i]);
+                             },
+                             {{"reason", std::string(it.name)}});
+  }
+  registry.AddCounterValue("marjoramhall_forward_malformed_total",
+                           "Datagrams that are no packets.",
+                           [packets] { return ToDouble(packets().malformed); });
+  registry.AddCounterValue("marjoramhall_forward_send_failed_total",
+                           "Datagrams that the system refused.", [packets] {
+                             return ToDouble(packets().send_failed);
+                           });
+  registry.AddCounterValue("marjoramhall_forward_unlogged_total",
+                           "Decisions that were beyond the log's budget.",
+                           [packets] { return ToDouble(packets().unlogged); });
+  registry.AddGauge("marjoramhall_forward_tracked_flows",
+                    "Flows that are opening or at work.", [packets] {
+                      return static_cast<double>(packets().tracked_flows);
+                    });
+  registry.AddGauge("marjoramhall_forward_config_version",
+                    "Version of the configuration in force.",
+                    gauges.config_version);
+  registry.AddGauge("marjoramhall_forward_view_age_seconds",
+                    "Time since the store or another VM last brought news.",
+                    gauges.view_age_seconds);
+  registry.AddGauge("marjoramhall_forward_targets", "Targets that are known.",
+                    gauges.targets);
+  registry.AddGauge("marjoramhall_forward_ready",
+                    "1 while the fabric is told to send packets.",
+                    gauges.ready);
+}
+
+}  // namespace marjoramhall::app
--- a/src/app/forward_process.cc
+++ b/src/app/forward_process.cc
@@ -26,6 +26,7 @@
 #include "platform/packet_codec.h"
 #include "platform/ready_paths.h"
 #include "platform/store_api.h"
+#include "src/app/forward_metrics.h"
 #include "src/discovery/snapshot_codec.h"
 #include "src/discovery/store_follower.h"
 #include "src/discovery/target_registry.h"
@@ -34,13 +35,15 @@
 #include "src/net/snapshot_client.h"
 #include "src/net/status_server.h"
 #include "src/observe/decision_log.h"
+#include "src/observe/metrics.h"
 #include "src/settings/load.h"
 
 namespace marjoramhall::app {
 namespace {
 
 constexpr auto kTickInterval = std::chrono::milliseconds(250);
-constexpr auto kLogInterval = std::chrono::seconds(1);
+// Also bounds how often left-out lines are reported.
+constexpr auto kLogInterval = std::chrono::seconds(2);
 // The fabric turns away after it was refused twice; packets on their way arrive
 // within this time.
 constexpr uint64_t kRefusalsBeforeStop = 2;
@@ -61,6 +64,8 @@
 // Lines that wait for the log's thread, about 400 bytes each.
 constexpr size_t kLogLines = 512;
 
+constexpr char kMetricsPath[] = "/metrics";
+
 constexpr int kStatusOk = 200;
 constexpr int kStatusUnavailable = 503;
 
@@ -136,6 +141,8 @@
   void Reload();
   void Tick();
   void MaintainLog();
+  net::PacketPath::Hooks PathHooks();
+  ForwardGauges Gauges();
   net::StatusPage Readiness();
   net::StatusPage SnapshotPage(const net::QueryParameter& query);
 
@@ -148,6 +155,7 @@
   asio::steady_timer log_timer_;
   asio::steady_timer stop_timer_;
   discovery::TargetRegistry registry_;
+  observe::MetricsRegistry metrics_;
   net::PacketPath path_;
   std::unique_ptr<platform::StoreApi> store_;
   std::unique_ptr<discovery::StoreFollower> follower_;
@@ -155,6 +163,7 @@
   net::StatusServer peers_;
   net::PeerAnnouncer announcer_;
   std::thread follower_thread_;
+  uint64_t unlogged_reported_ = 0;     // control thread only
   std::atomic<uint64_t> refusals_{0};  // of readiness since the stop began
 
   mutable std::mutex mutex_;
@@ -164,6 +173,9 @@
   uint64_t snapshot_revision_ = 0;
 
   // Set by the control thread, read by all.
+  std::atomic<uint64_t> config_version_{0};
+  std::atomic<size_t> targets_{0};
+  std::atomic<Duration::rep> news_at_{0};  // of SteadyNow()
   std::atomic<bool> ready_{false};
   std::atomic<bool> stopping_{false};  // readiness is withdrawn
   std::atomic<bool> ending_{false};    // threads are to end
@@ -179,7 +191,7 @@
       log_timer_(io_),
       stop_timer_(io_),
       registry_(RegistryOptions(chosen), log_.Hook()),
-      path_(PathOptions(chosen), platform::MakePacketCodec(), log_.Hook()),
+      path_(PathOptions(chosen), platform::MakePacketCodec(), PathHooks()),
       status_(chosen.forward.status,
               {{platform::kReadyPath,
                 [this](const net::QueryParameter&) { return Readiness(); }}}),
@@ -190,7 +202,31 @@
                }}}),
       announcer_(io_, AnnouncerOptions(chosen), [this] {
         return registry_.revision();
-      }) {}
+      }) {
+  AddForwardMetrics(
+      metrics_, [this] { return path_.Snapshot(); }, Gauges());
+}
+
+net::PacketPath::Hooks ForwardProcess::Impl::PathHooks() {
+  observe::Histogram& responses = metrics_.AddHistogram(
+      "marjoramhall_forward_response_seconds",
+      "Time from a request to the begin of its response.",
+      {0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0});
+  return {log_.Hook(), [&responses](Duration span) {
+            responses.Record(std::chrono::duration<double>(span).count());
+          }};
+}
+
+ForwardGauges ForwardProcess::Impl::Gauges() {
+  return {[this] { return static_cast<double>(config_version_.load()); },
+          [this] {
+            const Duration age =
+                SteadyNow().time_since_epoch() - Duration(news_at_.load());
+            return std::chrono::duration<double>(age).count();
+          },
+          [this] { return static_cast<double>(targets_.load()); },
+          [this] { return ready_ && !stopping_ ? 1.0 : 0.0; }};
+}
 
 ForwardProcess::Impl::~Impl() {
   ending_ = true;
@@ -275,6 +311,7 @@
 }
 
 void ForwardProcess::Impl::OnListing(const discovery::Listing& listing) {
+  news_at_ = SteadyNow().time_since_epoch().count();
   registry_.ApplyListing(listing, SteadyNow());
   Publish();
 }
@@ -282,6 +319,7 @@
 void ForwardProcess::Impl::OnChanges(
     const std::vector<discovery::StoreChange>& changes,
     uint64_t revision) {
+  news_at_ = SteadyNow().time_since_epoch().count();
   if (registry_.ApplyChanges(changes, revision, SteadyNow())) {
     Publish();
   }
@@ -298,7 +336,10 @@
 }
 
 void ForwardProcess::Impl::Publish() {
-  path_.PostView(registry_.MakeView());
+  const TimePoint now = SteadyNow();
+  path_.PostView(registry_.MakeView(now));
+  config_version_ = registry_.config_version();
+  targets_ = registry_.target_count();
   if (registry_.config_version() > 0) {
     std::string snapshot = discovery::EncodeSnapshot(registry_.Snapshot());
     const std::lock_guard lock(mutex_);
@@ -409,6 +450,13 @@
 }
 
 void ForwardProcess::Impl::MaintainLog() {
+  const uint64_t unlogged = path_.Snapshot().unlogged;
+  if (unlogged > unlogged_reported_) {
+    log_.Message(LogLevel::kInfo,
+                 std::to_string(unlogged - unlogged_reported_) +
+                     " decisions were not logged, to bound the volume");
+    unlogged_reported_ = unlogged;
+  }
   log_.Maintain();
   log_timer_.expires_after(kLogInterval);
   log_timer_.async_wait([this](const std::error_code& ec) {
--- a/src/forward/forwarder.cc
+++ b/src/forward/forwarder.cc
@@ -2,9 +2,12 @@
 #include "src/forward/forwarder.h"
 
 #include <algorithm>
+#include <chrono>
 #include <cstring>
 #include <utility>
 
+#include "src/base/endpoint.h"
+
 namespace marjoramhall::forward {
 namespace {
 
@@ -20,11 +23,8 @@
 
 }  // namespace
 
-Forwarder::Forwarder(ForwarderOptions options,
-                     Resend resend,
-                     DecisionHook decide)
-    : resend_(std::move(resend)),
-      decide_(std::move(decide)),
+Forwarder::Forwarder(ForwarderOptions options, ForwarderHooks hooks)
+    : hooks_(std::move(hooks)),
       picker_(options.picker, options.seed),
       flows_(options.tracked_flows) {}
 
@@ -38,13 +38,15 @@
                                   TimePoint now) {
   ++counters_.packets;
   if (view_ == nullptr || view_->config_version == 0) {
-    return Refuse(header, Reason::kNoView);
+    return Refuse(header, Reason::kNoView, now);
   }
   return header.syn ? OnOpening(header, datagram, now)
                     : OnLaterPacket(header, now);
 }
 
-PacketVerdict Forwarder::Refuse(const PacketHeader& header, Reason reason) {
+PacketVerdict Forwarder::Refuse(const PacketHeader& header,
+                                Reason reason,
+                                TimePoint now) {
   ++counters_.refused[static_cast<size_t>(reason)];
   PacketVerdict verdict;
   verdict.reason = reason;
@@ -54,20 +56,37 @@
     verdict.action = PacketAction::kReset;
     verdict.reset_sequence = header.acknowledged;
   }
+  if (!hooks_.may_log(true, now)) {
+    return verdict;
+  }
+  const bool reset = verdict.action == PacketAction::kReset;
+  const std::string detail = DescribeFlow(header.flow, now);
   Decision decision;
-  decision.kind = verdict.action == PacketAction::kReset
-                      ? DecisionKind::kRefuseRequest
-                      : DecisionKind::kDropPacket;
+  decision.kind =
+      reset ? DecisionKind::kRefuseRequest : DecisionKind::kDropPacket;
   decision.subject = HashOf(header.flow);
   decision.target = TargetId{static_cast<uint32_t>(header.token)};
   decision.revision = view_ == nullptr ? 0 : view_->config_version;
-  decision.outcome =
-      verdict.action == PacketAction::kReset ? "reset" : "dropped";
+  decision.outcome = reset ? "reset" : "dropped";
   decision.reason = NameOf(reason);
-  decide_(decision);
+  decision.detail = detail;
+  hooks_.decide(decision);
   return verdict;
 }
 
+std::string Forwarder::DescribeFlow(const FlowKey& key, TimePoint now) const {
+  const Endpoint client{IpAddress::FromV4(key.client_address), key.client_port};
+  const Endpoint service{IpAddress::FromV4(key.service_address),
+                         key.service_port};
+  std::string text = client.ToString() + " to " + service.ToString();
+  if (view_ != nullptr) {
+    const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(
+        now - view_->made_at);
+    text += ", view of " + std::to_string(age.count()) + " ms ago";
+  }
+  return text;
+}
+
 ServiceId Forwarder::ChooseService(const Route& route,
                                    const FlowKey& key) const {
   uint64_t total = 0;
@@ -92,12 +111,12 @@
   const uint64_t key =
       RouteKeyOf(header.flow.service_address, header.flow.service_port);
   if (!view_->routes.contains(key)) {
-    return Refuse(header, Reason::kNoRoute);
+    return Refuse(header, Reason::kNoRoute, now);
   }
   TrackedFlow* flow = flows_.Find(header.flow);
   if (flow != nullptr && flow->phase != FlowPhase::kOpening) {
     if (header.acknowledged > 0) {
-      return Refuse(header, Reason::kLateCopy);
+      return Refuse(header, Reason::kLateCopy, now);
     }
     // The client uses the port again for a new flow.
     Release(*flow);
@@ -121,7 +140,7 @@
   if (entry == nullptr) {
     Release(*flow);
     flows_.Remove(header.flow);
-    return Refuse(header, Reason::kNoTarget);
+    return Refuse(header, Reason::kNoTarget, now);
   }
   if (flow == &untracked) {
     Release(untracked);  // nothing would release it later
@@ -164,25 +183,31 @@
   }
   ++entry->outstanding;
   counters_.placed += flow.tries == 1 ? 1 : 0;
-  LogPlacement(key, flow, entry->target,
-               flow.tries == 1 ? Reason::kNone : Reason::kUnanswered);
+  LogPlacement(key, flow, *entry, now);
   return entry;
 }
 
 void Forwarder::LogPlacement(const FlowKey& key,
                              const TrackedFlow& flow,
-                             const Target& target,
-                             Reason reason) {
+                             const TargetEntry& entry,
+                             TimePoint now) {
+  const bool first = flow.tries == 1;
+  if (!hooks_.may_log(!first, now)) {
+    return;
+  }
+  const std::string detail = entry.target.id + " with " +
+                             std::to_string(entry.outstanding) +
+                             " requests of this VM, " + DescribeFlow(key, now);
   Decision decision;
   decision.kind = DecisionKind::kRouteFlow;
   decision.subject = HashOf(key);
-  decision.service = target.service;
-  decision.target = TargetId{static_cast<uint32_t>(target.token)};
+  decision.service = entry.target.service;
+  decision.target = TargetId{static_cast<uint32_t>(entry.target.token)};
   decision.revision = view_->config_version;
-  decision.outcome = flow.tries == 1 ? "placed" : "repeated";
-  decision.reason = reason == Reason::kNone ? "least-loaded" : NameOf(reason);
-  decision.detail = target.id;
-  decide_(decision);
+  decision.outcome = first ? "placed" : "repeated";
+  decision.reason = first ? "least-loaded" : NameOf(Reason::kUnanswered);
+  decision.detail = detail;
+  hooks_.decide(decision);
 }
 
 void Forwarder::CountUnanswered(TrackedFlow& flow, TimePoint now) {
@@ -202,7 +227,7 @@
       decision.outcome = "suspect";
       decision.reason = NameOf(Reason::kUnanswered);
       decision.detail = entry->target.id;
-      decide_(decision);
+      hooks_.decide(decision);
     }
   }
 }
@@ -219,7 +244,7 @@
   }
   if (const TargetEntry* entry = Place(key, flow, now)) {
     ++counters_.repeated;
-    resend_(flow.opening, entry->target);
+    hooks_.resend(flow.opening, entry->target);
   }
 }
 
@@ -228,7 +253,8 @@
   TargetEntry* entry = targets_.Find(header.token);
   if (entry == nullptr) {
     return Refuse(header,
-                  header.reset ? Reason::kForeignReset : Reason::kUnknownToken);
+                  header.reset ? Reason::kForeignReset : Reason::kUnknownToken,
+                  now);
   }
   Observe(header, *entry, now);
   return {PacketAction::kForward, &entry->target};
@@ -284,6 +310,7 @@
 
 void Forwarder::OnResponse(TrackedFlow& flow, TimePoint now) {
   ++counters_.requests;
+  hooks_.on_response(now - flow.worked);
   const double micros = static_cast<double>((now - flow.worked).count());
   double& usual = usual_time_[flow.route];
   usual = usual == 0 ? micros : usual + kRouteSmoothing * (micros - usual);
--- a/src/forward/forwarder.h
+++ b/src/forward/forwarder.h
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <functional>
 #include <span>
+#include <string>
 #include <unordered_map>
 
 #include "src/base/decision.h"
@@ -70,12 +71,21 @@
   uint64_t seed = 1;
 };
 
-class Forwarder {
- public:
+// Called on the traffic thread; must not block.
+struct ForwarderHooks {
   // Sends an opening to a target once more.
-  using Resend = std::function<void(const BarePacket& opening, const Target&)>;
+  std::function<void(const BarePacket& opening, const Target&)> resend;
+  DecisionHook decide;
+  // Whether a decision about a flow may be logged now; asked before its line is
+  // made. Exceptional: not placed at the first try.
+  std::function<bool(bool exceptional, TimePoint now)> may_log;
+  // Time from a request to the begin of its response.
+  std::function<void(Duration)> on_response;
+};
 
-  Forwarder(ForwarderOptions options, Resend resend, DecisionHook decide);
+class Forwarder {
+ public:
+  Forwarder(ForwarderOptions options, ForwarderHooks hooks);
 
   void OnView(ViewPtr view);
 
@@ -99,7 +109,9 @@
                           std::span<const uint8_t> datagram,
                           TimePoint now);
   PacketVerdict OnLaterPacket(const PacketHeader& header, TimePoint now);
-  PacketVerdict Refuse(const PacketHeader& header, Reason reason);
+  PacketVerdict Refuse(const PacketHeader& header,
+                       Reason reason,
+                       TimePoint now);
   ServiceId ChooseService(const Route& route, const FlowKey& key) const;
   TargetEntry* Place(const FlowKey& key, TrackedFlow& flow, TimePoint now);
   void RepeatOpening(const FlowKey& key, TrackedFlow& flow, TimePoint now);
@@ -109,11 +121,11 @@
   void Release(TrackedFlow& flow);
   void LogPlacement(const FlowKey& key,
                     const TrackedFlow& flow,
-                    const Target& target,
-                    Reason reason);
+                    const TargetEntry& entry,
+                    TimePoint now);
+  std::string DescribeFlow(const FlowKey& key, TimePoint now) const;
 
-  const Resend resend_;
-  const DecisionHook decide_;
+  const ForwarderHooks hooks_;
   TargetPicker picker_;
   ViewPtr view_;
   TargetTable targets_;
--- a/src/net/packet_path.cc
+++ b/src/net/packet_path.cc
@@ -11,6 +11,7 @@
 
 #include "src/base/time.h"
 #include "src/net/flow_path_socket.h"
+#include "src/observe/log_budget.h"
 
 namespace marjoramhall::net {
 namespace {
@@ -23,16 +24,11 @@
 
 class PacketPath::Impl {
  public:
-  Impl(PacketPathOptions options,
-       forward::PacketCodec codec,
-       DecisionHook decide)
+  Impl(PacketPathOptions options, forward::PacketCodec codec, Hooks hooks)
       : options_(options),
         codec_(std::move(codec)),
-        forwarder_(
-            options.forwarder,
-            [this](const forward::BarePacket& opening,
-                   const forward::Target& target) { Resend(opening, target); },
-            std::move(decide)) {}
+        budget_({}),
+        forwarder_(options.forwarder, MakeHooks(std::move(hooks))) {}
 
   ~Impl() {
     stopping_ = true;
@@ -63,6 +59,16 @@
   }
 
  private:
+  forward::ForwarderHooks MakeHooks(Hooks hooks) {
+    return {[this](const forward::BarePacket& opening,
+                   const forward::Target& target) { Resend(opening, target); },
+            std::move(hooks.decide),
+            [this](bool exceptional, TimePoint now) {
+              return budget_.Admit(exceptional, now);
+            },
+            std::move(hooks.on_response)};
+  }
+
   void Run() {
     while (!stopping_) {
       socket_.WaitReadable(kLargestWait);
@@ -156,6 +162,7 @@
     published_at_ = now;
     stats_.counters = forwarder_.counters();
     stats_.tracked_flows = forwarder_.tracked();
+    stats_.unlogged += budget_.TakeDenied();
     const std::lock_guard lock(mutex_);
     published_ = stats_;
   }
@@ -163,6 +170,7 @@
   const PacketPathOptions options_;
   const forward::PacketCodec codec_;
   UdpSocket socket_;
+  observe::LogBudget budget_;
   forward::Forwarder forwarder_;
   ReceiveBatch received_;
   SendBatch batch_;
@@ -184,10 +192,10 @@
 
 PacketPath::PacketPath(PacketPathOptions options,
                        forward::PacketCodec codec,
-                       DecisionHook decide)
-    : impl_(std::make_unique<Impl>(options,
-                                   std::move(codec),
-                                   std::move(decide))) {}
+                       Hooks hooks)
+    : impl_(
+          std::make_unique<Impl>(options, std::move(codec), std::move(hooks))) {
+}
 
 PacketPath::~PacketPath() = default;
 
--- a/src/net/packet_path.h
+++ b/src/net/packet_path.h
@@ -8,6 +8,7 @@
 #define MARJORAMHALL_NET_PACKET_PATH_H_
 
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <string>
 
@@ -32,14 +33,19 @@
   uint64_t malformed = 0;    // datagrams that are no packets
   uint64_t send_failed = 0;  // refused by the system
   size_t tracked_flows = 0;
+  uint64_t unlogged = 0;  // decisions beyond the log's budget
 };
 
 class PacketPath {
  public:
-  // `decide` is called on the traffic thread.
+  // The hooks are called on the traffic thread.
+  struct Hooks {
+    DecisionHook decide;
+    std::function<void(Duration)> on_response;
+  };
   PacketPath(PacketPathOptions options,
              forward::PacketCodec codec,
-             DecisionHook decide);
+             Hooks hooks);
   // Stops the thread.
   ~PacketPath();
   PacketPath(const PacketPath&) = delete;
--- a/tests/forward/forwarder_test.cc
+++ b/tests/forward/forwarder_test.cc
@@ -66,17 +66,24 @@
   return header;
 }
 
+ForwarderHooks NoHooks() {
+  return {[](const BarePacket&, const Target&) {}, [](const Decision&) {},
+          [](bool, TimePoint) { return false; }, [](Duration) {}};
+}
+
 class ForwarderTest : public testing::Test {
  protected:
   ForwarderTest()
-      : forwarder_(
-            {},
-            [this](const BarePacket&, const Target& target) {
-              resent_.push_back(target.token);
-            },
-            [this](const Decision& decision) {
-              reasons_.emplace_back(decision.reason);
-            }) {
+      : forwarder_({},
+                   {[this](const BarePacket&, const Target& target) {
+                      resent_.push_back(target.token);
+                    },
+                    [this](const Decision& decision) {
+                      reasons_.emplace_back(decision.reason);
+                      details_.emplace_back(decision.detail);
+                    },
+                    [](bool, TimePoint) { return true; },
+                    [this](Duration span) { responses_.push_back(span); }}) {
     opening_bytes_.fill(1);
   }
 
@@ -105,6 +112,8 @@
   BarePacket opening_bytes_{};
   std::vector<TargetToken> resent_;
   std::vector<std::string> reasons_;
+  std::vector<std::string> details_;
+  std::vector<Duration> responses_;
   Forwarder forwarder_;
 };
 
@@ -128,6 +137,24 @@
   EXPECT_EQ(reasons_.back(), "no-route");
 }
 
+TEST_F(ForwarderTest, SaysWhoseFlowWasRefusedAndOnWhichView) {
+  View view = MakeView(2);
+  view.routes.clear();
+  view.made_at = now_ - milliseconds(250);
+  Show(view);
+  Open(40001);
+  EXPECT_EQ(details_.back(),
+            "100.64.0.7:40001 to 198.18.0.1:443, view of 250 ms ago");
+}
+
+TEST_F(ForwarderTest, ReportsTheTimeToTheResponse) {
+  Show(MakeView(1));
+  const TargetToken token = OpenAndAnswer(1);
+  now_ += milliseconds(30);
+  forwarder_.OnPacket(Later(1, token, 200), {}, now_);
+  EXPECT_EQ(responses_, std::vector<Duration>{milliseconds(30)});
+}
+
 TEST_F(ForwarderTest, ResetsAnOpeningWithoutTargetAtOnce) {
   Show(MakeView(0));
   const PacketVerdict verdict = Open(1);
@@ -296,8 +323,7 @@
 TEST_F(ForwarderTest, ForwardsWhenTheFlowTableIsFull) {
   ForwarderOptions options;
   options.tracked_flows = 1;
-  Forwarder small(
-      options, [](const BarePacket&, const Target&) {}, [](const Decision&) {});
+  Forwarder small(options, NoHooks());
   small.OnView(std::make_shared<View>(MakeView(1)));
   for (uint16_t port = 1; port <= 10; ++port) {
     EXPECT_EQ(small.OnPacket(Opening(port), opening_bytes_, now_).action,
@@ -311,8 +337,7 @@
 // a later packet only to the target that its token names, and the count of work
 // in progress never exceeds the flows that are tracked.
 RC_GTEST_PROP(ForwarderProperty, EveryPacketGoesOnlyWhereItBelongs, ()) {
-  Forwarder forwarder(
-      {}, [](const BarePacket&, const Target&) {}, [](const Decision&) {});
+  Forwarder forwarder({}, NoHooks());
   TimePoint now{seconds(1000)};
   View view;
   const auto steps = *rc::gen::inRange(1, 200);
