--- a/lab/main.cc
+++ b/lab/main.cc
@@ -9,6 +9,7 @@
 
 #include "lab/flow_baselines.h"
 #include "lab/flow_commands.h"
+#include "lab/forward_soak.h"
 #include "lab/http_commands.h"
 #include "lab/ports.h"
 #include "lab/request_experiment.h"
@@ -28,6 +29,9 @@
        marjoramhall::lab::RunFlowExperiment},
       {"flow-load", "open flows through VMs and check where they arrive",
        marjoramhall::lab::RunFlowLoad},
+      {"forward-soak",
+       "play random faults on forwarding VMs and check promises",
+       marjoramhall::lab::RunForwardSoak},
       {"ports", "print N free loopback ports", marjoramhall::lab::RunPorts},
       {"store", "stand-in for the platform's store",
        marjoramhall::lab::RunStore},
--- a/src/app/forward_metrics.cc
+++ b/src/app/forward_metrics.cc
@@ -58,7 +58,7 @@
                     "Version of the configuration in force.",
                     gauges.config_version);
   registry.AddGauge("marjoramhall_forward_view_age_seconds",
-                    "Time since the store or another VM last brought news.",
+                    "Time since an answer of the store confirmed the view.",
                     gauges.view_age_seconds);
   registry.AddGauge("marjoramhall_forward_targets", "Targets that are known.",
                     gauges.targets);
--- a/src/app/forward_process.cc
+++ b/src/app/forward_process.cc
@@ -175,7 +175,7 @@
   // Set by the control thread, read by all.
   std::atomic<uint64_t> config_version_{0};
   std::atomic<size_t> targets_{0};
-  std::atomic<Duration::rep> news_at_{0};  // of SteadyNow()
+  std::atomic<Duration::rep> confirmed_at_{0};  // of SteadyNow()
   std::atomic<bool> ready_{false};
   std::atomic<bool> stopping_{false};  // readiness is withdrawn
   std::atomic<bool> ending_{false};    // threads are to end
@@ -221,7 +221,7 @@
   return {[this] { return static_cast<double>(config_version_.load()); },
           [this] {
             const Duration age =
-                SteadyNow().time_since_epoch() - Duration(news_at_.load());
+                SteadyNow().time_since_epoch() - Duration(confirmed_at_.load());
             return std::chrono::duration<double>(age).count();
           },
           [this] { return static_cast<double>(targets_.load()); },
@@ -285,6 +285,10 @@
       OnChanges(changes, revision);
     });
   };
+  hooks.on_confirmed = [this](TimePoint at) {
+    confirmed_at_ = at.time_since_epoch().count();
+    path_.PostConfirmed(at);
+  };
   hooks.on_reachable = [this](bool reachable, discovery::ReadStatus status) {
     asio::post(io_,
                [this, reachable, status] { OnReachable(reachable, status); });
@@ -311,7 +315,6 @@
 }
 
 void ForwardProcess::Impl::OnListing(const discovery::Listing& listing) {
-  news_at_ = SteadyNow().time_since_epoch().count();
   registry_.ApplyListing(listing, SteadyNow());
   Publish();
 }
@@ -319,7 +322,6 @@
 void ForwardProcess::Impl::OnChanges(
     const std::vector<discovery::StoreChange>& changes,
     uint64_t revision) {
-  news_at_ = SteadyNow().time_since_epoch().count();
   if (registry_.ApplyChanges(changes, revision, SteadyNow())) {
     Publish();
   }
@@ -336,8 +338,7 @@
 }
 
 void ForwardProcess::Impl::Publish() {
-  const TimePoint now = SteadyNow();
-  path_.PostView(registry_.MakeView(now));
+  path_.PostView(registry_.MakeView());
   config_version_ = registry_.config_version();
   targets_ = registry_.target_count();
   if (registry_.config_version() > 0) {
--- a/src/discovery/store_follower.cc
+++ b/src/discovery/store_follower.cc
@@ -79,6 +79,7 @@
     hooks_.on_reachable(ok, status);
   }
   if (ok) {
+    hooks_.on_confirmed(hooks_.now());
     pause_ = Duration{0};
   } else {
     AskPeers();
--- a/src/discovery/store_follower.h
+++ b/src/discovery/store_follower.h
@@ -82,6 +82,8 @@
     std::function<void(Listing)> on_listing;
     // Changes after it, in order, up to a revision of the store.
     std::function<void(std::vector<StoreChange>, uint64_t revision)> on_changes;
+    // What was handed out is current as of the time, by an answer of the store.
+    std::function<void(TimePoint at)> on_confirmed;
     // The store was lost or regained, with the status that showed it.
     std::function<void(bool reachable, ReadStatus status)> on_reachable;
     std::function<void(Duration)> sleep;
--- a/src/discovery/target_registry.cc
+++ b/src/discovery/target_registry.cc
@@ -206,10 +206,9 @@
   return it == services_.end() ? ServiceId::kNone : it->second;
 }
 
-forward::ViewPtr TargetRegistry::MakeView(TimePoint now) const {
+forward::ViewPtr TargetRegistry::MakeView() const {
   auto view = std::make_shared<forward::View>();
   view->config_version = config_.version;
-  view->made_at = now;
   view->flow_idle_timeout = config_.flow_idle_timeout;
   for (const RouteRecord& it : config_.routes) {
     forward::Route route;
--- a/src/discovery/target_registry.h
+++ b/src/discovery/target_registry.h
@@ -50,7 +50,7 @@
   // Ends lapses and forgets retired targets. Returns whether the view changed.
   bool Tick(TimePoint now);
 
-  forward::ViewPtr MakeView(TimePoint now = {}) const;
+  forward::ViewPtr MakeView() const;
 
   uint64_t config_version() const { return config_.version; }
   // Of the store, up to which all changes are known.
--- a/src/forward/forwarder.cc
+++ b/src/forward/forwarder.cc
@@ -81,8 +81,8 @@
   std::string text = client.ToString() + " to " + service.ToString();
   if (view_ != nullptr) {
     const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(
-        now - view_->made_at);
-    text += ", view of " + std::to_string(age.count()) + " ms ago";
+        now - confirmed_at_);
+    text += ", view confirmed " + std::to_string(age.count()) + " ms ago";
   }
   return text;
 }
--- a/src/forward/forwarder.h
+++ b/src/forward/forwarder.h
@@ -88,6 +88,8 @@
   Forwarder(ForwarderOptions options, ForwarderHooks hooks);
 
   void OnView(ViewPtr view);
+  // The view was current at this time; log lines tell its age.
+  void OnConfirmed(TimePoint at) { confirmed_at_ = at; }
 
   // Decides about one packet; `datagram` is the packet as it stands on the
   // wire. Cost: two hash lookups, and for an opening one pass over the targets
@@ -128,6 +130,7 @@
   const ForwarderHooks hooks_;
   TargetPicker picker_;
   ViewPtr view_;
+  TimePoint confirmed_at_;
   TargetTable targets_;
   FlowTracker flows_;
   // Usual response time of a route in microseconds, smoothed.
--- a/src/forward/view.h
+++ b/src/forward/view.h
@@ -83,7 +83,6 @@
   std::unordered_map<uint64_t, Route> routes;  // by RouteKeyOf()
   std::vector<Target> targets;                 // tokens are unique
   Duration flow_idle_timeout{0};
-  TimePoint made_at;
 };
 using ViewPtr = std::shared_ptr<const View>;
 
--- a/src/net/packet_path.cc
+++ b/src/net/packet_path.cc
@@ -53,6 +53,10 @@
     has_next_view_ = true;
   }
 
+  void PostConfirmed(TimePoint at) {
+    confirmed_at_ = at.time_since_epoch().count();
+  }
+
   PacketStats Snapshot() const {
     const std::lock_guard lock(mutex_);
     return published_;
@@ -90,6 +94,7 @@
   }
 
   void TakeView() {
+    forwarder_.OnConfirmed(TimePoint(Duration(confirmed_at_.load())));
     if (!has_next_view_) {
       return;
     }
@@ -185,6 +190,7 @@
   forward::ViewPtr next_view_;
   PacketStats published_;
 
+  std::atomic<Duration::rep> confirmed_at_{0};  // of SteadyNow()
   std::atomic<bool> has_next_view_{false};
   std::atomic<bool> stopping_{false};
   std::thread thread_;
@@ -207,6 +213,10 @@
   impl_->PostView(std::move(view));
 }
 
+void PacketPath::PostConfirmed(TimePoint at) {
+  impl_->PostConfirmed(at);
+}
+
 PacketStats PacketPath::Snapshot() const {
   return impl_->Snapshot();
 }
--- a/src/net/packet_path.h
+++ b/src/net/packet_path.h
@@ -55,8 +55,10 @@
   // address, or an empty string.
   std::string Open();
 
-  // Both are safe from any thread.
+  // All are safe from any thread.
   void PostView(forward::ViewPtr view);
+  // The view was current at this time.
+  void PostConfirmed(TimePoint at);
   PacketStats Snapshot() const;
 
  private:
--- a/tests/discovery/store_follower_test.cc
+++ b/tests/discovery/store_follower_test.cc
@@ -63,6 +63,7 @@
     hooks.on_changes = [this](std::vector<StoreChange> changes, uint64_t) {
       changes_ += changes.size();
     };
+    hooks.on_confirmed = [this](TimePoint at) { confirmed_at_ = at; };
     hooks.on_reachable = [this](bool reachable, ReadStatus) {
       reachable_.push_back(reachable);
     };
@@ -100,6 +101,7 @@
   std::vector<Listing> listings_;
   size_t changes_ = 0;
   std::vector<bool> reachable_;
+  TimePoint confirmed_at_;
   std::vector<Duration> slept_;
   StoreFollower follower_;
 };
@@ -109,10 +111,12 @@
   // it.
   StoreRead first = Ok(10, {Named("a", 3)});
   first.has_more = true;
-  first.last_key = "a";
+  first.last_key = std::string("a");
   answers_ = {first, Ok(14, {Named("b", 4)}), Ok(14)};
   Steps(2);
-  EXPECT_EQ(listed_after_, (std::vector<std::string>{"", "a"}));
+  ASSERT_EQ(listed_after_.size(), 2U);
+  EXPECT_TRUE(listed_after_[0].empty());
+  EXPECT_EQ(listed_after_[1], "a");
   ASSERT_EQ(listings_.size(), 1U);
   EXPECT_EQ(listings_[0].items.size(), 2U);
   EXPECT_EQ(listings_[0].revision, 10U);
@@ -136,6 +140,16 @@
   EXPECT_EQ(reachable_, (std::vector<bool>{true, false, true}));
 }
 
+TEST_F(StoreFollowerTest, ConfirmsTheViewByAnswersOfTheStoreOnly) {
+  answers_ = {Ok(10), Ok(10)};
+  Steps(2);
+  const TimePoint confirmed = now_;
+  peer_ = Listing{{}, 20};
+  Steps(5);
+  EXPECT_GT(now_, confirmed);
+  EXPECT_EQ(confirmed_at_, confirmed);
+}
+
 TEST_F(StoreFollowerTest, PausesLongerWithEachFailureUpToABound) {
   answers_ = {Ok(10)};
   Steps(12);
--- a/tests/forward/forwarder_test.cc
+++ b/tests/forward/forwarder_test.cc
@@ -140,11 +140,11 @@
 TEST_F(ForwarderTest, SaysWhoseFlowWasRefusedAndOnWhichView) {
   View view = MakeView(2);
   view.routes.clear();
-  view.made_at = now_ - milliseconds(250);
   Show(view);
+  forwarder_.OnConfirmed(now_ - milliseconds(250));
   Open(40001);
   EXPECT_EQ(details_.back(),
-            "100.64.0.7:40001 to 198.18.0.1:443, view of 250 ms ago");
+            "100.64.0.7:40001 to 198.18.0.1:443, view confirmed 250 ms ago");
 }
 
 TEST_F(ForwarderTest, ReportsTheTimeToTheResponse) {
