Drop openings that waited while the VM stood still

Change: after a gap of 200 ms between wake-ups, by the clock that counts suspension, openings that waited are dropped until the queue is empty; the clients' copies follow 200 and 600 ms after the first.

--- a/src/base/time.h
+++ b/src/base/time.h
@@ -4,6 +4,8 @@
 #ifndef MARJORAMHALL_BASE_TIME_H_
 #define MARJORAMHALL_BASE_TIME_H_
 
+#include <time.h>
+
 #include <chrono>
 #include <functional>
 
@@ -24,6 +26,15 @@
       std::chrono::steady_clock::now());
 }
 
+// The same, but counting the time in which the machine was suspended. Points of
+// the two clocks are not comparable.
+inline TimePoint BootNow() {
+  timespec at{};
+  clock_gettime(CLOCK_BOOTTIME, &at);
+  return TimePoint(std::chrono::duration_cast<Duration>(
+      std::chrono::seconds(at.tv_sec) + std::chrono::nanoseconds(at.tv_nsec)));
+}
+
 }  // namespace marjoramhall
 
 #endif  // MARJORAMHALL_BASE_TIME_H_
--- a/src/forward/forwarder.cc
+++ b/src/forward/forwarder.cc
@@ -14,6 +14,9 @@
 // A target that answered within this time is taken to be alive: an opening
 // without an answer was then lost on the way and goes to the same target.
 constexpr Duration kRecentAnswer = std::chrono::milliseconds(300);
+// A client sends its first copy of an opening after 200 ms, which may have gone
+// to another VM; wake-ups are 20 ms apart at the most.
+constexpr Duration kLongGap = std::chrono::milliseconds(200);
 // Weight of a new response time in the smoothed ones.
 constexpr double kTargetSmoothing = 0.15;
 constexpr double kRouteSmoothing = 0.02;
@@ -33,6 +36,13 @@
   targets_.Replace(*view_);
 }
 
+void Forwarder::OnWake(TimePoint boot_now) {
+  if (woken_at_ != TimePoint() && boot_now - woken_at_ >= kLongGap) {
+    queue_is_stale_ = true;
+  }
+  woken_at_ = boot_now;
+}
+
 PacketVerdict Forwarder::OnPacket(const PacketHeader& header,
                                   std::span<const uint8_t> datagram,
                                   TimePoint now) {
@@ -52,7 +62,8 @@
   verdict.reason = reason;
   // Only an opening is reset: the flow may be open otherwise, and its target
   // alive.
-  if (header.syn && reason != Reason::kNoView && reason != Reason::kLateCopy) {
+  if (header.syn &&
+      (reason == Reason::kNoRoute || reason == Reason::kNoTarget)) {
     verdict.action = PacketAction::kReset;
     verdict.reset_sequence = header.acknowledged;
   }
@@ -108,6 +119,9 @@
                                    std::span<const uint8_t> datagram,
                                    TimePoint now) {
   ++counters_.openings;
+  if (queue_is_stale_) {
+    return Refuse(header, Reason::kStaleOpening, now);
+  }
   const uint64_t key =
       RouteKeyOf(header.flow.service_address, header.flow.service_port);
   if (!view_->routes.contains(key)) {
@@ -336,6 +350,7 @@
 }
 
 void Forwarder::OnTick(TimePoint now) {
+  queue_is_stale_ = false;
   flows_.RunChecks(now, [&](const FlowKey& key, TrackedFlow& flow) {
     RepeatOpening(key, flow, now);
   });
--- a/src/forward/forwarder.h
+++ b/src/forward/forwarder.h
@@ -31,6 +31,7 @@
   kUnknownToken,  // the token names no known target
   kForeignReset,  // a reset of a client that names no target
   kLateCopy,      // a copy of an opening that has been answered
+  kStaleOpening,  // an opening that waited while this VM stood still
   kUnanswered,    // the target did not answer the opening
   kCount,
 };
@@ -42,6 +43,7 @@
     {Reason::kUnknownToken, "unknown-token"},
     {Reason::kForeignReset, "reset-without-target"},
     {Reason::kLateCopy, "late-copy"},
+    {Reason::kStaleOpening, "stale-opening"},
     {Reason::kUnanswered, "unanswered"},
 };
 constexpr std::span<const EnumName<Reason>> NamesOf(Reason) {
@@ -91,6 +93,12 @@
   // The view was current at this time; log lines tell its age.
   void OnConfirmed(TimePoint at) { confirmed_at_ = at; }
 
+  // To be called before waiting packets are handed in, with BootNow(). After a
+  // long gap, as when this VM was suspended, openings are dropped until the
+  // next OnTick(): their clients have sent copies, and the flow may be open at
+  // a target of another VM's choice by now.
+  void OnWake(TimePoint boot_now);
+
   // Decides about one packet; `datagram` is the packet as it stands on the
   // wire. Cost: two hash lookups, and for an opening one pass over the targets
   // of the service.
@@ -131,6 +139,8 @@
   TargetPicker picker_;
   ViewPtr view_;
   TimePoint confirmed_at_;
+  TimePoint woken_at_;           // of BootNow()
+  bool queue_is_stale_ = false;  // until the packets that waited are handed in
   TargetTable targets_;
   FlowTracker flows_;
   // Usual response time of a route in microseconds, smoothed.
--- a/src/net/packet_path.cc
+++ b/src/net/packet_path.cc
@@ -77,6 +77,7 @@
     while (!stopping_) {
       socket_.WaitReadable(kLargestWait);
       TakeView();
+      forwarder_.OnWake(BootNow());
       size_t n = 0;
       do {
         n = socket_.Receive(received_);
--- a/tests/forward/forwarder_test.cc
+++ b/tests/forward/forwarder_test.cc
@@ -260,6 +260,23 @@
   EXPECT_EQ(verdict.reason, Reason::kLateCopy);
 }
 
+TEST_F(ForwarderTest, DropsOpeningsThatWaitedWhileTheVmStoodStill) {
+  // By now the flow may be open through another VM: placed again it would get
+  // a second target, and a reset would end it.
+  Show(MakeView(2));
+  forwarder_.OnWake(now_);
+  EXPECT_EQ(Open(1).action, PacketAction::kForward);
+  Pass(milliseconds(20));
+  forwarder_.OnWake(now_ + milliseconds(179));
+  EXPECT_EQ(Open(2).action, PacketAction::kForward);
+  forwarder_.OnWake(now_ + seconds(2));
+  const PacketVerdict verdict = Open(3);
+  EXPECT_EQ(verdict.action, PacketAction::kDrop);
+  EXPECT_EQ(verdict.reason, Reason::kStaleOpening);
+  forwarder_.OnTick(now_);
+  EXPECT_EQ(Open(3).action, PacketAction::kForward);
+}
+
 TEST_F(ForwarderTest, PlacesAnOpeningOfAPortThatIsUsedAgain) {
   Show(MakeView(1));
   OpenAndAnswer(1);
