--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 JOBS ?= $(shell nproc)
 export CCACHE_DIR ?= $(HOME)/.cache/ccache
 
-.PHONY: packages build test demo bench format format-check lint asan tsan clean
+.PHONY: packages build test demo soak bench format format-check lint asan tsan clean
 
 packages:
 	tools/install_packages.sh
@@ -17,6 +17,12 @@
 demo: build
 	tools/demo.sh build/release
 
+# SOAK_SECONDS a seed, and SOAK_FRESH seeds beside those that failed once.
+SOAK_SECONDS ?= 10
+SOAK_FRESH ?= 3
+soak: build
+	tools/soak.sh build/release $(SOAK_SECONDS) $(SOAK_FRESH)
+
 bench: build
 	tools/bench.sh build/release
 
--- a/lab/soak_world.cc
+++ b/lab/soak_world.cc
@@ -474,7 +474,9 @@
   const SoakVm* vm = VmOf(from);
   const Target* target = TargetOf(flow.target);
   if (flow.established && target != nullptr && target->alive) {
-    Break("an open flow to the living " + target->record.id + " was reset");
+    Break("an open flow to the living " + target->record.id + " from port " +
+          std::to_string(key.client_port) + " was reset by " +
+          (vm == nullptr ? "a stranger" : vm->name));
   }
   const RouteState& route = routes_[key.service_port - kFirstRoutePort];
   if (!flow.established && vm != nullptr && InTouch(*vm, now) &&
--- a/src/net/packet_path.h
+++ b/src/net/packet_path.h
@@ -1,9 +1,8 @@
 // The traffic thread of token forwarding: takes packets from the fabric, asks
 // forward::Forwarder about each and sends them on in batches.
 //
-// A straight loop over one socket: it makes three system calls a wake-up, where
-// a reactor needs five, and small VMs spend most of their processor time on
-// these.
+// A straight loop over one socket: a reactor would add system calls to each
+// wake-up, on which small VMs spend most of their processor time.
 #ifndef MARJORAMHALL_NET_PACKET_PATH_H_
 #define MARJORAMHALL_NET_PACKET_PATH_H_
 
