Leave a shared token with the target that was born first

The one that came first by its store key got it, so that a joining target could take over the packets of another's open flows; the comment spoke of ids below 2^32. Change: the earlier born keeps the token, the other gets no flows and is logged; the field for what is left of a target's warm-up is named cold_for.

--- a/src/discovery/records.h
+++ b/src/discovery/records.h
@@ -25,7 +25,7 @@
   std::string failure_domain;
   uint32_t slots = 1;
   bool draining = false;
-  Duration warmup_left{0};
+  Duration cold_for{0};
 };
 
 struct ShareRecord {
--- a/src/discovery/target_registry.cc
+++ b/src/discovery/target_registry.cc
@@ -2,7 +2,7 @@
 #include "src/discovery/target_registry.h"
 
 #include <algorithm>
-#include <limits>
+#include <tuple>
 #include <utility>
 
 namespace marjoramhall::discovery {
@@ -10,8 +10,6 @@
 using forward::TargetState;
 
 forward::TargetToken TokenOf(uint64_t instance) {
-  // Instance numbers are mostly below 2^32 and then stand for themselves, so
-  // that two targets cannot share a token.
   const uint64_t folded = (instance & 0xffffffffU) ^ (instance >> 32);
   return forward::TargetToken{folded == 0 ? 1 : static_cast<uint32_t>(folded)};
 }
@@ -114,11 +112,12 @@
   const TargetRecord& next = *change.target;
   entry.record = next;
   entry.revision = change.revision;
-  entry.warm_at = now + next.warmup_left;
+  entry.warm_at = now + next.cold_for;
   SetState(entry, next.draining ? TargetState::kDraining : TargetState::kActive,
            it == targets_.end() ? "joined" : "entry-changed", now);
   IdOf(next.service);
   RetireFormerUsers(entry, now);
+  LogSharedToken(entry);
   return true;
 }
 
@@ -131,6 +130,24 @@
   }
 }
 
+void TargetRegistry::LogSharedToken(const Entry& entry) const {
+  for (const auto& [key, other] : targets_) {
+    if (&other == &entry || other.state == TargetState::kRetired ||
+        TokenOf(other.record.instance) != TokenOf(entry.record.instance)) {
+      continue;
+    }
+    Decision decision;
+    decision.kind = DecisionKind::kTargetHealth;
+    decision.target =
+        TargetId{static_cast<uint32_t>(TokenOf(entry.record.instance))};
+    decision.revision = entry.revision;
+    decision.outcome = "token-shared";
+    decision.reason = "the later target gets no flows";
+    decision.detail = entry.record.id;
+    decide_(decision);
+  }
+}
+
 void TargetRegistry::Retire(Entry& entry,
                             std::string_view reason,
                             TimePoint now) {
@@ -223,13 +240,12 @@
     view->routes[forward::RouteKeyOf(it.address.address.ToV4(),
                                      it.address.port)] = std::move(route);
   }
-  // A token that two targets share goes to the one that came first; the other
-  // gets no flows.
   std::set<forward::TargetToken> taken;
-  const auto add = [&](const Entry& entry) {
+  for (const Entry* it : InOrderOfPrecedence()) {
+    const Entry& entry = *it;
     const auto token = TokenOf(entry.record.instance);
     if (!taken.insert(token).second) {
-      return;
+      continue;
     }
     forward::Target target;
     target.token = token;
@@ -244,15 +260,25 @@
     target.state = entry.state;
     target.warm_at = entry.warm_at;
     view->targets.push_back(std::move(target));
-  };
-  for (const bool retired : {false, true}) {
-    for (const auto& [key, entry] : targets_) {
-      if ((entry.state == TargetState::kRetired) == retired) {
-        add(entry);
-      }
-    }
   }
   return view;
 }
 
+std::vector<const TargetRegistry::Entry*> TargetRegistry::InOrderOfPrecedence()
+    const {
+  std::vector<const Entry*> entries;
+  entries.reserve(targets_.size());
+  for (const auto& [key, entry] : targets_) {
+    entries.push_back(&entry);
+  }
+  std::stable_sort(entries.begin(), entries.end(),
+                   [](const Entry* a, const Entry* b) {
+                     const bool a_retired = a->state == TargetState::kRetired;
+                     const bool b_retired = b->state == TargetState::kRetired;
+                     return std::tie(a_retired, a->record.born_ms) <
+                            std::tie(b_retired, b->record.born_ms);
+                   });
+  return entries;
+}
+
 }  // namespace marjoramhall::discovery
--- a/src/discovery/target_registry.h
+++ b/src/discovery/target_registry.h
@@ -76,6 +76,11 @@
   void Retire(Entry& entry, std::string_view reason, TimePoint now);
   // Two incarnations never share an address: the earlier one is gone.
   void RetireFormerUsers(const Entry& user, TimePoint now);
+  void LogSharedToken(const Entry& entry) const;
+  // Of two targets with one token the first in this order has it: a target that
+  // may have flows before a retired one, then the earlier born. All VMs agree,
+  // and a target that joins takes no flows from one that has some.
+  std::vector<const Entry*> InOrderOfPrecedence() const;
   ServiceId IdOf(const std::string& service);
   ServiceId FindService(const std::string& service) const;
 
@@ -87,7 +92,8 @@
   uint64_t revision_ = 0;  // never falls
 };
 
-// The token of a target: equal on all VMs, never kNone.
+// The token of a target: equal on all VMs, never kNone. Instance numbers are
+// longer than tokens, so two targets may share one, though hardly ever.
 forward::TargetToken TokenOf(uint64_t instance);
 
 }  // namespace marjoramhall::discovery
--- a/tests/platform/documents_test.cc
+++ b/tests/platform/documents_test.cc
@@ -37,7 +37,7 @@
   EXPECT_EQ(change.target->failure_domain, "valley-a");
   EXPECT_EQ(change.target->slots, 3U);
   EXPECT_FALSE(change.target->draining);
-  EXPECT_EQ(change.target->warmup_left, std::chrono::milliseconds(250));
+  EXPECT_EQ(change.target->cold_for, std::chrono::milliseconds(250));
   EXPECT_EQ(change.target->born_ms, 1700000000123);
 }
 
