Refuse new flows that the targets can't answer in time

Cause: in a burst of three times the load, or with half of the targets gone, all VMs together filled every queue of the targets. Callers got their answers after the latency objective, or a reset of a full target after the flow had opened, which a non-idempotent request can't repeat. Besides, a request that a target gave up unseen counted as its work for 8 s.

Change: forward/admission bounds the requests in progress a service of each VM, and moves the bound by the response times that the VM sees. New flows beyond it are reset before they open, at once, those of the lowest priority first. Copies of an opening are never refused: the flow may be opening through another VM. A VM that has just started may fill every slot once.

--- /dev/null
+++ b/src/forward/admission.cc
@@ -0,0 +1,161 @@
+// A limit on requests in progress that follows response times.
+#include "src/forward/admission.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace marjoramhall::forward {
+namespace {
+
+// The limit follows response times only while this part of it is in use; with
+// less work in progress they say nothing about it.
+constexpr double kInUse = 0.6;
+// Bounds of one adjustment. A cut takes the root of the pressure, since
+// response times of one window are noisy and the other VMs cut at the same
+// time.
+constexpr double kLargestGrowth = 2.0;
+constexpr double kLargestCut = 0.75;
+constexpr double kCutExponent = 0.5;
+// An unused limit returns to the first one by this factor a window.
+constexpr double kReturn = 0.8;
+constexpr double kLeastLimit = 1.0;
+// Weight of a window in the usual response time.
+constexpr double kUsualSmoothing = 0.1;
+// One straggler counts as this many times the longest acceptable response.
+constexpr double kLargestPressure = 3.0;
+
+double Seconds(Duration span) {
+  return std::chrono::duration<double>(span).count();
+}
+
+}  // namespace
+
+Admission::ServiceState& Admission::StateOf(ServiceId service) {
+  const auto [it, is_new] = services_.try_emplace(ToInteger(service));
+  if (is_new) {
+    it->second.limit = options_.idle_limit;
+  }
+  return it->second;
+}
+
+void Admission::OnView(const View& view) {
+  for (auto& [id, state] : services_) {
+    state.priorities.clear();
+  }
+  std::unordered_map<uint32_t, uint32_t> slots;
+  for (const Target& it : view.targets) {
+    slots[ToInteger(it.service)] += TakesNewFlows(it.state) ? it.slots : 0;
+  }
+  for (const auto& [key, route] : view.routes) {
+    for (const ServiceShare& it : route.services) {
+      const uint32_t id = ToInteger(it.service);
+      if (!services_.contains(id)) {
+        StateOf(it.service).limit =
+            std::max<double>(options_.idle_limit, slots[id]);
+      }
+      StateOf(it.service).priorities.push_back(route.priority);
+    }
+  }
+  for (auto& [id, state] : services_) {
+    std::sort(state.priorities.begin(), state.priorities.end());
+    state.priorities.erase(
+        std::unique(state.priorities.begin(), state.priorities.end()),
+        state.priorities.end());
+  }
+}
+
+double Admission::LimitFor(const ServiceState& state, uint32_t priority) const {
+  const auto it = std::lower_bound(state.priorities.begin(),
+                                   state.priorities.end(), priority);
+  if (state.priorities.size() < 2 || it == state.priorities.end()) {
+    return state.limit;
+  }
+  const double rank = static_cast<double>(it - state.priorities.begin()) /
+                      static_cast<double>(state.priorities.size() - 1);
+  return state.limit * (1.0 - rank * (1.0 - options_.lowest_priority_part));
+}
+
+bool Admission::Admits(ServiceId service,
+                       const Route& route,
+                       uint32_t in_progress) {
+  ServiceState& state = StateOf(service);
+  state.most_in_progress = std::max(state.most_in_progress, in_progress + 1);
+  const double allowed = std::max(LimitFor(state, route.priority), kLeastLimit);
+  return in_progress + 1 <= allowed;
+}
+
+void Admission::OnResponse(ServiceId service,
+                           const Route& route,
+                           Duration span,
+                           TimePoint now) {
+  ServiceState& state = StateOf(service);
+  if (state.responses == 0) {
+    state.window_began = now;
+  }
+  const double seconds = Seconds(span);
+  double longest = Seconds(route.latency_objective) * options_.objective_part;
+  if (state.usual_seconds > 0) {
+    const double queued = state.usual_seconds * options_.longest_wait;
+    longest = longest > 0 ? std::min(longest, queued) : queued;
+  }
+  ++state.responses;
+  state.seconds_sum += seconds;
+  if (longest > 0) {
+    state.pressure_sum += std::min(seconds / longest, kLargestPressure);
+  }
+  // Not before the effect of the last adjustment can be seen.
+  const double mean = state.seconds_sum / state.responses;
+  if (state.responses >= options_.window_responses &&
+      Seconds(now - state.window_began) >=
+          std::max(Seconds(options_.shortest_window), mean)) {
+    EndWindow(state, now);
+  }
+}
+
+void Admission::EndWindow(ServiceState& state, TimePoint now) {
+  const double pressure = state.pressure_sum / state.responses;
+  const double mean = state.seconds_sum / state.responses;
+  const bool in_use = state.most_in_progress >= kInUse * state.limit;
+  if (in_use) {
+    const double exponent = pressure > 1.0 ? kCutExponent : 1.0;
+    state.limit *=
+        std::clamp(std::pow(pressure, -exponent), kLargestCut, kLargestGrowth);
+  } else if (state.limit < options_.idle_limit) {
+    state.limit = std::min(state.limit * kLargestGrowth, options_.idle_limit);
+  } else {
+    state.limit = std::max(state.limit * kReturn, options_.idle_limit);
+  }
+  state.limit = std::max(state.limit, kLeastLimit);
+  if (!in_use || state.usual_seconds == 0) {
+    state.usual_seconds =
+        state.usual_seconds == 0
+            ? mean
+            : state.usual_seconds +
+                  kUsualSmoothing * (mean - state.usual_seconds);
+  }
+  state.most_in_progress = 0;
+  state.responses = 0;
+  state.pressure_sum = 0;
+  state.seconds_sum = 0;
+  state.window_began = now;
+}
+
+Duration Admission::OverdueAfter(ServiceId service, const Route& route) const {
+  const Duration longest =
+      route.timeout > Duration{0} ? route.timeout : options_.longest_work;
+  const auto it = services_.find(ToInteger(service));
+  if (it == services_.end() || it->second.usual_seconds == 0) {
+    return longest;
+  }
+  const auto overdue =
+      std::chrono::duration_cast<Duration>(std::chrono::duration<double>(
+          it->second.usual_seconds * options_.overdue));
+  return std::min(overdue, longest);
+}
+
+double Admission::LimitOf(ServiceId service) const {
+  const auto it = services_.find(ToInteger(service));
+  return it == services_.end() ? options_.idle_limit : it->second.limit;
+}
+
+}  // namespace marjoramhall::forward
--- a/src/forward/flow_tracker.cc
+++ b/src/forward/flow_tracker.cc
@@ -4,6 +4,21 @@
 #include <algorithm>
 
 namespace marjoramhall::forward {
+namespace {
+
+TimePoint EndOf(const TrackedFlow& flow) {
+  switch (flow.phase) {
+    case FlowPhase::kOpening:
+      return flow.opened + kOpeningLifetime;
+    case FlowPhase::kWorking:
+      return flow.worked + std::min(flow.overdue_after, kWorkLifetime);
+    case FlowPhase::kAnswered:
+      break;
+  }
+  return flow.worked + kWorkLifetime;
+}
+
+}  // namespace
 
 TrackedFlow* FlowTracker::Find(const FlowKey& key) {
   const auto it = flows_.find(key);
@@ -20,7 +35,7 @@
   it->second.sent = now;
   it->second.worked = now;
   if (is_new) {
-    expiry_.push_back({key, now + kOpeningLifetime});
+    expiry_.push_back({key, now + kExpiryStep});
   }
   return &it->second;
 }
@@ -38,12 +53,9 @@
       continue;
     }
     TrackedFlow& flow = it->second;
-    const TimePoint end = flow.phase == FlowPhase::kOpening
-                              ? flow.opened + kOpeningLifetime
-                              : flow.worked + kWorkLifetime;
-    if (end > now) {
+    if (EndOf(flow) > now) {
       // Looked at again after one step, so that the queue stays in order.
-      expiry_.push_back({due.key, now + kOpeningLifetime});
+      expiry_.push_back({due.key, now + kExpiryStep});
       continue;
     }
     expired(due.key, flow);
--- a/src/forward/flow_tracker.h
+++ b/src/forward/flow_tracker.h
@@ -19,9 +19,11 @@
 inline constexpr size_t kMaxTries = 4;
 // A client gives an opening up after 1.4 s.
 inline constexpr Duration kOpeningLifetime = std::chrono::milliseconds(1400);
-// A flow at work without packets is forgotten after this; longer than the
-// deadlines of the deployments' requests.
+// An answered flow without packets is forgotten after this, and one at work at
+// the latest; longer than the deadlines of the deployments' requests.
 inline constexpr Duration kWorkLifetime = std::chrono::seconds(8);
+// How often the time of a flow is looked at.
+inline constexpr Duration kExpiryStep = std::chrono::milliseconds(200);
 
 enum class FlowPhase {
   kOpening,   // an opening was sent to a target
@@ -34,8 +36,9 @@
   TargetToken token = TargetToken::kNone;  // the target that counts the work
   uint64_t route = 0;                      // RouteKeyOf()
   TimePoint opened;
-  TimePoint sent;    // of the last opening
-  TimePoint worked;  // begin of the request
+  TimePoint sent;                          // of the last opening
+  TimePoint worked;                        // begin of the request
+  Duration overdue_after = kWorkLifetime;  // of the request in progress
   uint32_t first_ack = 0;
   // In order of use; the first `tries` are set.
   std::array<TargetToken, kMaxTries> tried{};
--- a/src/forward/forwarder.cc
+++ b/src/forward/forwarder.cc
@@ -29,11 +29,13 @@
 Forwarder::Forwarder(ForwarderOptions options, ForwarderHooks hooks)
     : hooks_(std::move(hooks)),
       picker_(options.picker, options.seed),
+      admission_(options.admission),
       flows_(options.tracked_flows) {}
 
 void Forwarder::OnView(ViewPtr view) {
   view_ = std::move(view);
   targets_.Replace(*view_);
+  admission_.OnView(*view_);
 }
 
 void Forwarder::OnWake(TimePoint boot_now) {
@@ -63,7 +65,8 @@
   // Only an opening is reset: the flow may be open otherwise, and its target
   // alive.
   if (header.syn &&
-      (reason == Reason::kNoRoute || reason == Reason::kNoTarget)) {
+      (reason == Reason::kNoRoute || reason == Reason::kNoTarget ||
+       reason == Reason::kOverload)) {
     verdict.action = PacketAction::kReset;
     verdict.reset_sequence = header.acknowledged;
   }
@@ -124,7 +127,8 @@
   }
   const uint64_t key =
       RouteKeyOf(header.flow.service_address, header.flow.service_port);
-  if (!view_->routes.contains(key)) {
+  const auto route = view_->routes.find(key);
+  if (route == view_->routes.end()) {
     return Refuse(header, Reason::kNoRoute, now);
   }
   TrackedFlow* flow = flows_.Find(header.flow);
@@ -139,6 +143,11 @@
   }
   TrackedFlow untracked;
   if (flow == nullptr) {
+    // Not a copy: its flow may be opening through another VM.
+    if (header.acknowledged == 0 &&
+        !Admits(route->second, ChooseService(route->second, header.flow))) {
+      return Refuse(header, Reason::kOverload, now);
+    }
     flow = flows_.Add(header.flow, now);
     if (flow == nullptr) {
       flow = &untracked;
@@ -162,6 +171,15 @@
   return {PacketAction::kForward, &entry->target};
 }
 
+bool Forwarder::Admits(const Route& route, ServiceId service) {
+  uint32_t in_progress = 0;
+  for (const TargetEntry* it : targets_.OfService(service)) {
+    // What is at a target without answers keeps no other target busy.
+    in_progress += it->IsSuspect() ? 0 : it->outstanding;
+  }
+  return admission_.Admits(service, route, in_progress);
+}
+
 TargetEntry* Forwarder::Place(const FlowKey& key,
                               TrackedFlow& flow,
                               TimePoint now) {
@@ -233,6 +251,9 @@
     ++entry->unanswered;
     if (entry->unanswered == kSuspectAfter) {
       entry->last_probe = now;
+      if (!hooks_.may_log(true, now)) {
+        return;
+      }
       Decision decision;
       decision.kind = DecisionKind::kTargetHealth;
       decision.service = entry->target.service;
@@ -302,16 +323,12 @@
       flow->token = header.token;
       ++entry.outstanding;
     }
-    flow->phase = FlowPhase::kWorking;
-    flow->worked = now;
-    flow->first_ack = header.acknowledged;
+    BeginWork(header, entry, *flow, now);
   } else if (flow->phase == FlowPhase::kAnswered && header.data_bytes > 0 &&
              !ends) {
     ++entry.outstanding;
     flow->token = header.token;
-    flow->phase = FlowPhase::kWorking;
-    flow->worked = now;
-    flow->first_ack = header.acknowledged;
+    BeginWork(header, entry, *flow, now);
   } else if (flow->phase == FlowPhase::kWorking &&
              (header.acknowledged != flow->first_ack || header.fin)) {
     OnResponse(*flow, now);
@@ -322,6 +339,20 @@
   }
 }
 
+void Forwarder::BeginWork(const PacketHeader& header,
+                          const TargetEntry& entry,
+                          TrackedFlow& flow,
+                          TimePoint now) {
+  flow.phase = FlowPhase::kWorking;
+  flow.worked = now;
+  flow.first_ack = header.acknowledged;
+  const auto route = view_->routes.find(flow.route);
+  flow.overdue_after =
+      route == view_->routes.end()
+          ? kWorkLifetime
+          : admission_.OverdueAfter(entry.target.service, route->second);
+}
+
 void Forwarder::OnResponse(TrackedFlow& flow, TimePoint now) {
   ++counters_.requests;
   hooks_.on_response(now - flow.worked);
@@ -335,10 +366,20 @@
         kLeastSlowness,
         entry->slowness + kTargetSmoothing * (ratio - entry->slowness));
   }
+  TellAdmission(flow, now);
   Release(flow);
   flow.phase = FlowPhase::kAnswered;
 }
 
+void Forwarder::TellAdmission(const TrackedFlow& flow, TimePoint now) {
+  const TargetEntry* entry = targets_.Find(flow.token);
+  const auto route = view_->routes.find(flow.route);
+  if (entry != nullptr && route != view_->routes.end()) {
+    admission_.OnResponse(entry->target.service, route->second,
+                          now - flow.worked, now);
+  }
+}
+
 void Forwarder::Release(TrackedFlow& flow) {
   if (flow.phase == FlowPhase::kAnswered || flow.token == TargetToken::kNone) {
     return;
@@ -354,7 +395,12 @@
   flows_.RunChecks(now, [&](const FlowKey& key, TrackedFlow& flow) {
     RepeatOpening(key, flow, now);
   });
-  flows_.Expire(now, [&](const FlowKey&, TrackedFlow& flow) { Release(flow); });
+  flows_.Expire(now, [&](const FlowKey&, TrackedFlow& flow) {
+    if (flow.phase == FlowPhase::kWorking) {
+      TellAdmission(flow, now);
+    }
+    Release(flow);
+  });
 }
 
 }  // namespace marjoramhall::forward
--- a/src/forward/forwarder.h
+++ b/src/forward/forwarder.h
@@ -12,6 +12,7 @@
 
 #include "src/base/decision.h"
 #include "src/base/time.h"
+#include "src/forward/admission.h"
 #include "src/forward/flow_tracker.h"
 #include "src/forward/packet.h"
 #include "src/forward/target_picker.h"
@@ -28,6 +29,7 @@
   kNoView,        // this VM has no configuration yet
   kNoRoute,       // no route has this address
   kNoTarget,      // no target of the service takes new flows
+  kOverload,      // the targets have more work than they finish in time
   kUnknownToken,  // the token names no known target
   kForeignReset,  // a reset of a client that names no target
   kLateCopy,      // a copy of an opening that has been answered
@@ -40,6 +42,7 @@
     {Reason::kNoView, "no-view"},
     {Reason::kNoRoute, "no-route"},
     {Reason::kNoTarget, "no-target"},
+    {Reason::kOverload, "overload"},
     {Reason::kUnknownToken, "unknown-token"},
     {Reason::kForeignReset, "reset-without-target"},
     {Reason::kLateCopy, "late-copy"},
@@ -69,6 +72,7 @@
 
 struct ForwarderOptions {
   PickerOptions picker;
+  AdmissionOptions admission;
   size_t tracked_flows = 16'384;
   uint64_t seed = 1;
 };
@@ -123,11 +127,19 @@
                        Reason reason,
                        TimePoint now);
   ServiceId ChooseService(const Route& route, const FlowKey& key) const;
+  // Whether a new flow may be let in beside the work in progress.
+  bool Admits(const Route& route, ServiceId service);
   TargetEntry* Place(const FlowKey& key, TrackedFlow& flow, TimePoint now);
   void RepeatOpening(const FlowKey& key, TrackedFlow& flow, TimePoint now);
   void CountUnanswered(TrackedFlow& flow, TimePoint now);
   void Observe(const PacketHeader& header, TargetEntry& entry, TimePoint now);
+  void BeginWork(const PacketHeader& header,
+                 const TargetEntry& entry,
+                 TrackedFlow& flow,
+                 TimePoint now);
   void OnResponse(TrackedFlow& flow, TimePoint now);
+  // How long a request took, or has taken without a response so far.
+  void TellAdmission(const TrackedFlow& flow, TimePoint now);
   void Release(TrackedFlow& flow);
   void LogPlacement(const FlowKey& key,
                     const TrackedFlow& flow,
@@ -137,6 +149,7 @@
 
   const ForwarderHooks hooks_;
   TargetPicker picker_;
+  Admission admission_;
   ViewPtr view_;
   TimePoint confirmed_at_;
   TimePoint woken_at_;           // of BootNow()
--- a/tests/forward/forwarder_test.cc
+++ b/tests/forward/forwarder_test.cc
@@ -71,10 +71,17 @@
           [](bool, TimePoint) { return false; }, [](Duration) {}};
 }
 
+// Many flows at once on few targets, for tests of other things than admission.
+ForwarderOptions WithoutLimit() {
+  ForwarderOptions options;
+  options.admission.idle_limit = 1000;
+  return options;
+}
+
 class ForwarderTest : public testing::Test {
  protected:
   ForwarderTest()
-      : forwarder_({},
+      : forwarder_(WithoutLimit(),
                    {[this](const BarePacket&, const Target& target) {
                       resent_.push_back(target.token);
                     },
@@ -349,6 +356,58 @@
   EXPECT_EQ(small.targets().Find(TargetToken{1})->outstanding, 1U);
 }
 
+// An overloaded forwarder: as many openings at one target as it lets in.
+class OverloadTest : public testing::Test {
+ protected:
+  OverloadTest() : forwarder_({}, NoHooks()) {
+    opening_bytes_.fill(1);
+    forwarder_.OnView(std::make_shared<View>(MakeView(2)));
+    while (last_.action == PacketAction::kForward) {
+      last_ = Open(++port_);
+    }
+  }
+
+  PacketVerdict Open(uint16_t port) {
+    return forwarder_.OnPacket(Opening(port), opening_bytes_, now_);
+  }
+
+  TimePoint now_{seconds(1000)};
+  BarePacket opening_bytes_{};
+  uint16_t port_ = 0;
+  PacketVerdict last_{PacketAction::kForward};
+  Forwarder forwarder_;
+};
+
+TEST_F(OverloadTest, ResetsANewFlowAtOnce) {
+  // It has not run, and its client is told so without waiting.
+  EXPECT_EQ(last_.action, PacketAction::kReset);
+  EXPECT_EQ(last_.reason, Reason::kOverload);
+}
+
+TEST_F(OverloadTest, DoesNotResetACopy) {
+  // The first one may have gone through another VM, and opened the flow since.
+  PacketHeader copy = Opening(++port_);
+  copy.acknowledged = 1;
+  EXPECT_EQ(forwarder_.OnPacket(copy, opening_bytes_, now_).action,
+            PacketAction::kForward);
+}
+
+TEST_F(OverloadTest, LetsInAgainWhenTargetsAnswerOrFallSilent) {
+  const TargetToken token =
+      forwarder_.targets().OfService(kService)[0]->target.token;
+  for (uint16_t port = 1; port < 9; ++port) {
+    forwarder_.OnPacket(Later(port, token, 100, 10), {}, now_);
+    PacketHeader fin = Later(port, token, 200);
+    fin.fin = true;
+    forwarder_.OnPacket(fin, {}, now_);
+  }
+  EXPECT_EQ(Open(++port_).action, PacketAction::kForward);
+  now_ += seconds(10);
+  forwarder_.OnTick(now_);
+  EXPECT_EQ(forwarder_.tracked(), 0U);
+  EXPECT_EQ(Open(++port_).action, PacketAction::kForward);
+}
+
 // Whatever packets arrive in whatever order, with whatever views in between: an
 // opening goes only to a target of its route's service that takes new flows,
 // a later packet only to the target that its token names, and the count of work
