--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,9 @@
 # Entry points over the CMake presets. JOBS limits the compile jobs.
 JOBS ?= $(shell nproc)
 export CCACHE_DIR ?= $(HOME)/.cache/ccache
+# Objects are shared between checkouts in different folders.
+export CCACHE_BASEDIR ?= $(CURDIR)
+export CCACHE_NOHASHDIR ?= true
 
 .PHONY: packages build test demo soak bench format format-check lint asan tsan clean
 
