Leave the command `run` out of the deployed program

Cause: a process that has just started spends most of its start in the loader: 33 shared libraries, 17 of which only `run` uses. Change: an option of the build, and static protobuf without `run`; libraries that nothing uses are not linked.

What is left is cpp-httplib with OpenSSL, which exists as a shared library only.

--- a/src/app/main.cc
+++ b/src/app/main.cc
@@ -6,7 +6,9 @@
 namespace {
 
 constexpr marjoramhall::app::Command kCommands[] = {
+#ifdef MARJORAMHALL_RUN
     {"run", "run a VM", marjoramhall::app::RunRun},
+#endif
     {"forward", "run a VM that forwards packets by token",
      marjoramhall::app::RunForward},
     {"check", "check a settings file and its deployment",
