Bound the log lines about targets

Change: joins count as ordinary lines, all other states as exceptional ones, and what is left out is counted in the same message as the lines of traffic.

--- a/src/app/forward_process.cc
+++ b/src/app/forward_process.cc
@@ -35,6 +35,7 @@
 #include "src/net/snapshot_client.h"
 #include "src/net/status_server.h"
 #include "src/observe/decision_log.h"
+#include "src/observe/log_budget.h"
 #include "src/observe/metrics.h"
 #include "src/settings/load.h"
 
@@ -141,6 +142,7 @@
   void Reload();
   void Tick();
   void MaintainLog();
+  DecisionHook TargetHook();
   net::PacketPath::Hooks PathHooks();
   ForwardGauges Gauges();
   net::StatusPage Readiness();
@@ -154,6 +156,7 @@
   asio::steady_timer tick_timer_;
   asio::steady_timer log_timer_;
   asio::steady_timer stop_timer_;
+  observe::LogBudget target_lines_{{}};  // control thread only
   discovery::TargetRegistry registry_;
   observe::MetricsRegistry metrics_;
   net::PacketPath path_;
@@ -190,7 +193,7 @@
       tick_timer_(io_),
       log_timer_(io_),
       stop_timer_(io_),
-      registry_(RegistryOptions(chosen), log_.Hook()),
+      registry_(RegistryOptions(chosen), TargetHook()),
       path_(PathOptions(chosen), platform::MakePacketCodec(), PathHooks()),
       status_(chosen.forward.status,
               {{platform::kReadyPath,
@@ -211,6 +214,17 @@
       metrics_, [this] { return path_.Snapshot(); }, Gauges());
 }
 
+// All targets change at once when a VM starts or a service is released.
+DecisionHook ForwardProcess::Impl::TargetHook() {
+  return [this, write = log_.Hook()](const Decision& it) {
+    const bool joined = it.outcome == NameOf(forward::TargetState::kActive);
+    if (it.kind != DecisionKind::kTargetHealth ||
+        target_lines_.Admit(!joined, SteadyNow())) {
+      write(it);
+    }
+  };
+}
+
 net::PacketPath::Hooks ForwardProcess::Impl::PathHooks() {
   observe::Histogram& responses = metrics_.AddHistogram(
       "marjoramhall_forward_response_seconds",
@@ -456,11 +470,13 @@
 
 void ForwardProcess::Impl::MaintainLog() {
   const uint64_t unlogged = path_.Snapshot().unlogged;
-  if (unlogged > unlogged_reported_) {
+  const uint64_t missing =
+      unlogged - unlogged_reported_ + target_lines_.TakeDenied();
+  unlogged_reported_ = unlogged;
+  if (missing > 0) {
     log_.Message(LogLevel::kInfo,
-                 std::to_string(unlogged - unlogged_reported_) +
+                 std::to_string(missing) +
                      " decisions were not logged, to bound the volume");
-    unlogged_reported_ = unlogged;
   }
   log_.Maintain();
   log_timer_.expires_after(kLogInterval);
--- a/src/observe/log_budget.h
+++ b/src/observe/log_budget.h
@@ -13,8 +13,8 @@
 struct LogBudgetOptions {
   // Lines a second. A line costs about 10 us, so that both together stay below
   // a hundredth of a core.
-  uint32_t ordinary = 20;     // flows that were placed
-  uint32_t exceptional = 60;  // refused, dropped and repeated ones
+  uint32_t ordinary = 20;     // flows that were placed, targets that joined
+  uint32_t exceptional = 60;  // all others
 };
 
 // Not thread-safe.
