Go on with a listing of the store where it was refused

Every VM lists all targets at its start, in pages; together they ask for more than the store's rate of reads, and a VM that was refused began again with the first page, so that the refused calls kept the store busy.

Change: a listing goes on with the page that failed.

Ruled out: stale reads, which are not limited; the pages do not say whether their revision is that of the stale content, and a wrong one would lose changes for good.

Test: GoesOnWithAListingThatWasRefusedHalfway, failed before.

--- a/src/discovery/store_follower.cc
+++ b/src/discovery/store_follower.cc
@@ -26,31 +26,29 @@
 }
 
 ReadStatus StoreFollower::List() {
-  std::vector<StoreChange> items;
-  std::string after;
-  uint64_t first_revision = 0;
   const Duration limit = std::exchange(tried_, true)
                              ? options_.list_limit
                              : options_.first_list_limit;
   for (;;) {
-    StoreRead page = reader_.list(after, limit);
+    StoreRead page = reader_.list(pages_.after, limit);
     if (page.status != ReadStatus::kOk) {
       return page.status;
     }
     std::move(page.changes.begin(), page.changes.end(),
-              std::back_inserter(items));
+              std::back_inserter(pages_.items));
     // Pages are no snapshot: what changed since the first is watched again.
-    if (first_revision == 0) {
-      first_revision = page.revision;
+    if (pages_.first_revision == 0) {
+      pages_.first_revision = page.revision;
     }
-    if (!page.has_more || page.last_key <= after) {
+    if (!page.has_more || page.last_key <= pages_.after) {
       break;
     }
-    after = page.last_key;
+    pages_.after = page.last_key;
   }
-  revision_ = first_revision;
-  known_ = std::max(known_, first_revision);
-  hooks_.on_listing({std::move(items), first_revision});
+  Pages pages = std::exchange(pages_, Pages{});
+  revision_ = pages.first_revision;
+  known_ = std::max(known_, revision_);
+  hooks_.on_listing({std::move(pages.items), revision_});
   return ReadStatus::kOk;
 }
 
--- a/src/discovery/store_follower.h
+++ b/src/discovery/store_follower.h
@@ -100,6 +100,15 @@
   void Step();
 
  private:
+  // Pages of a listing so far. A listing goes on after a failed call where it
+  // stopped: hundreds of VMs that start together exceed the store's rate, and
+  // would never come to the end of theirs otherwise.
+  struct Pages {
+    std::vector<StoreChange> items;
+    std::string after;  // key of the last item
+    uint64_t first_revision = 0;
+  };
+
   ReadStatus List();
   void AskPeers();
   ReadStatus Watch();
@@ -109,6 +118,7 @@
   const FollowerOptions options_;
   const StoreReader reader_;
   const Hooks hooks_;
+  Pages pages_;            // of a listing under way
   uint64_t revision_ = 0;  // of the next watch; 0: a listing is due
   uint64_t known_ = 0;     // newest revision that was handed out
   TimePoint peers_asked_;
--- a/tests/discovery/store_follower_test.cc
+++ b/tests/discovery/store_follower_test.cc
@@ -105,6 +105,21 @@
   StoreFollower follower_;
 };
 
+TEST_F(StoreFollowerTest, GoesOnWithAListingThatWasRefusedHalfway) {
+  // 300 VMs that start together ask for more pages than the store gives a
+  // second; VMs that begin anew after each refusal keep it busy for good.
+  StoreRead first = Ok(7, {Named("a", 3)});
+  first.has_more = true;
+  first.last_key = std::string("a");
+  answers_ = {first, Failed(ReadStatus::kRefused), Ok(9, {Named("b", 8)}),
+              Ok(9)};
+  Steps(3);
+  EXPECT_EQ(listed_after_, (std::vector<std::string>{"", "a", "a"}));
+  ASSERT_EQ(listings_.size(), 1U);
+  EXPECT_EQ(listings_[0].items.size(), 2U);
+  EXPECT_EQ(watched_after_, std::vector<uint64_t>{7});
+}
+
 TEST_F(StoreFollowerTest, WatchesFromTheRevisionOfTheFirstPage) {
   // What changes between two pages is missing from both; only the watch shows
   // it.
