--- a/src/forward/admission.cc
+++ b/src/forward/admission.cc
@@ -64,24 +64,12 @@
   }
 }
 
-double Admission::LimitFor(const ServiceState& state, uint32_t priority) const {
-  const auto it = std::lower_bound(state.priorities.begin(),
-                                   state.priorities.end(), priority);
-  if (state.priorities.size() < 2 || it == state.priorities.end()) {
-    return state.limit;
-  }
-  const double rank = static_cast<double>(it - state.priorities.begin()) /
-                      static_cast<double>(state.priorities.size() - 1);
-  return state.limit * (1.0 - rank * (1.0 - options_.lowest_priority_part));
-}
-
 bool Admission::Admits(ServiceId service,
                        const Route& route,
                        uint32_t in_progress) {
   ServiceState& state = StateOf(service);
   state.most_in_progress = std::max(state.most_in_progress, in_progress + 1);
-  const double allowed = std::max(LimitFor(state, route.priority), kLeastLimit);
-  return in_progress + 1 <= allowed;
+  return in_progress + 1 <= LimitOf(service, route);
 }
 
 void Admission::OnResponse(ServiceId service,
@@ -154,9 +142,21 @@
   return std::min(overdue, longest);
 }
 
-double Admission::LimitOf(ServiceId service) const {
-  const auto it = services_.find(ToInteger(service));
-  return it == services_.end() ? options_.idle_limit : it->second.limit;
+double Admission::LimitOf(ServiceId service, const Route& route) const {
+  const auto state = services_.find(ToInteger(service));
+  if (state == services_.end()) {
+    return options_.idle_limit;
+  }
+  const std::vector<uint32_t>& priorities = state->second.priorities;
+  const auto it =
+      std::lower_bound(priorities.begin(), priorities.end(), route.priority);
+  double part = 1.0;
+  if (priorities.size() > 1 && it != priorities.end()) {
+    const double rank = static_cast<double>(it - priorities.begin()) /
+                        static_cast<double>(priorities.size() - 1);
+    part = 1.0 - rank * (1.0 - options_.lowest_priority_part);
+  }
+  return std::max(state->second.limit * part, kLeastLimit);
 }
 
 }  // namespace marjoramhall::forward
--- a/src/forward/admission.h
+++ b/src/forward/admission.h
@@ -71,8 +71,9 @@
   // in progress: it is a straggler, or its target gave it up unseen.
   Duration OverdueAfter(ServiceId service, const Route& route) const;
 
-  // Requests in progress that the routes of the highest priority may have.
-  double LimitOf(ServiceId service) const;
+  // Requests in progress of the service beyond which new flows of the route are
+  // refused.
+  double LimitOf(ServiceId service, const Route& route) const;
 
  private:
   struct ServiceState {
@@ -89,7 +90,6 @@
   };
 
   ServiceState& StateOf(ServiceId service);
-  double LimitFor(const ServiceState& state, uint32_t priority) const;
   void EndWindow(ServiceState& state, TimePoint now);
 
   const AdmissionOptions options_;
--- a/src/forward/forwarder.cc
+++ b/src/forward/forwarder.cc
@@ -74,7 +74,10 @@
     return verdict;
   }
   const bool reset = verdict.action == PacketAction::kReset;
-  const std::string detail = DescribeFlow(header.flow, now);
+  std::string detail = DescribeFlow(header.flow, now);
+  if (reason == Reason::kOverload) {
+    detail += DescribeLoad(header.flow);
+  }
   Decision decision;
   decision.kind =
       reset ? DecisionKind::kRefuseRequest : DecisionKind::kDropPacket;
@@ -144,8 +147,9 @@
   TrackedFlow untracked;
   if (flow == nullptr) {
     // Not a copy: its flow may be opening through another VM.
+    const ServiceId service = ChooseService(route->second, header.flow);
     if (header.acknowledged == 0 &&
-        !Admits(route->second, ChooseService(route->second, header.flow))) {
+        !admission_.Admits(service, route->second, InProgress(service))) {
       return Refuse(header, Reason::kOverload, now);
     }
     flow = flows_.Add(header.flow, now);
@@ -171,13 +175,26 @@
   return {PacketAction::kForward, &entry->target};
 }
 
-bool Forwarder::Admits(const Route& route, ServiceId service) {
-  uint32_t in_progress = 0;
+uint32_t Forwarder::InProgress(ServiceId service) const {
+  uint32_t n = 0;
   for (const TargetEntry* it : targets_.OfService(service)) {
     // What is at a target without answers keeps no other target busy.
-    in_progress += it->IsSuspect() ? 0 : it->outstanding;
+    n += it->IsSuspect() ? 0 : it->outstanding;
+  }
+  return n;
+}
+
+std::string Forwarder::DescribeLoad(const FlowKey& key) const {
+  const auto route =
+      view_->routes.find(RouteKeyOf(key.service_address, key.service_port));
+  if (route == view_->routes.end()) {
+    return "";
   }
-  return admission_.Admits(service, route, in_progress);
+  const ServiceId service = ChooseService(route->second, key);
+  return ", " + std::to_string(InProgress(service)) +
+         " requests of this VM in progress, limit " +
+         std::to_string(
+             static_cast<uint32_t>(admission_.LimitOf(service, route->second)));
 }
 
 TargetEntry* Forwarder::Place(const FlowKey& key,
--- a/src/forward/forwarder.h
+++ b/src/forward/forwarder.h
@@ -127,8 +127,10 @@
                        Reason reason,
                        TimePoint now);
   ServiceId ChooseService(const Route& route, const FlowKey& key) const;
-  // Whether a new flow may be let in beside the work in progress.
-  bool Admits(const Route& route, ServiceId service);
+  // Requests of this VM at the targets of a service that answer.
+  uint32_t InProgress(ServiceId service) const;
+  // What decided about admission, for a log line.
+  std::string DescribeLoad(const FlowKey& key) const;
   TargetEntry* Place(const FlowKey& key, TrackedFlow& flow, TimePoint now);
   void RepeatOpening(const FlowKey& key, TrackedFlow& flow, TimePoint now);
   void CountUnanswered(TrackedFlow& flow, TimePoint now);
--- a/tests/forward/admission_test.cc
+++ b/tests/forward/admission_test.cc
@@ -63,13 +63,13 @@
 
 TEST_F(AdmissionTest, AllowsMoreWhileResponsesAreQuick) {
   Respond(milliseconds(50), 16, 200);
-  EXPECT_GT(admission_.LimitOf(kService), 20);
+  EXPECT_GT(admission_.LimitOf(kService, urgent_), 20);
 }
 
 TEST_F(AdmissionTest, AllowsLessWhileResponsesAreSlow) {
   Respond(milliseconds(50), 4, 100);
   Respond(milliseconds(400), 16, 200);
-  EXPECT_LT(admission_.LimitOf(kService), 12);
+  EXPECT_LT(admission_.LimitOf(kService, urgent_), 12);
 }
 
 TEST_F(AdmissionTest, NeverRefusesEverything) {
@@ -82,7 +82,7 @@
 TEST_F(AdmissionTest, SlowResponsesWithoutLoadRefuseNothing) {
   // A target that is slow by itself is not relieved by a refusal.
   Respond(milliseconds(400), 2, 400);
-  EXPECT_GE(admission_.LimitOf(kService), 16);
+  EXPECT_GE(admission_.LimitOf(kService, urgent_), 16);
 }
 
 TEST_F(AdmissionTest, DelaysOfAFewMillisecondsAreNoSignOfLoad) {
@@ -90,7 +90,7 @@
   // wait for its processor.
   Respond(milliseconds(1), 4, 100);
   Respond(milliseconds(15), 16, 200);
-  EXPECT_GE(admission_.LimitOf(kService), 16);
+  EXPECT_GE(admission_.LimitOf(kService, urgent_), 16);
 }
 
 TEST_F(AdmissionTest, RefusesTheLeastUrgentFirst) {
@@ -113,9 +113,9 @@
 TEST_F(AdmissionTest, ReturnsToTheFirstLimitWhenTheLoadIsGone) {
   // A limit left over from a crest would let the next one overshoot.
   Respond(milliseconds(50), 60, 400);
-  ASSERT_GT(admission_.LimitOf(kService), 40);
+  ASSERT_GT(admission_.LimitOf(kService, urgent_), 40);
   Respond(milliseconds(50), 2, 2000);
-  EXPECT_DOUBLE_EQ(admission_.LimitOf(kService), 16);
+  EXPECT_DOUBLE_EQ(admission_.LimitOf(kService, urgent_), 16);
 }
 
 TEST_F(AdmissionTest, CallsARequestOverdueByTheUsualTimeAndTheRoutesTimeLimit) {
--- a/tests/forward/forwarder_test.cc
+++ b/tests/forward/forwarder_test.cc
@@ -359,7 +359,7 @@
 // An overloaded forwarder: as many openings at one target as it lets in.
 class OverloadTest : public testing::Test {
  protected:
-  OverloadTest() : forwarder_({}, NoHooks()) {
+  OverloadTest() : forwarder_({}, Hooks()) {
     opening_bytes_.fill(1);
     forwarder_.OnView(std::make_shared<View>(MakeView(2)));
     while (last_.action == PacketAction::kForward) {
@@ -367,12 +367,22 @@
     }
   }
 
+  ForwarderHooks Hooks() {
+    ForwarderHooks hooks = NoHooks();
+    hooks.may_log = [](bool, TimePoint) { return true; };
+    hooks.decide = [this](const Decision& decision) {
+      detail_ = decision.detail;
+    };
+    return hooks;
+  }
+
   PacketVerdict Open(uint16_t port) {
     return forwarder_.OnPacket(Opening(port), opening_bytes_, now_);
   }
 
   TimePoint now_{seconds(1000)};
   BarePacket opening_bytes_{};
+  std::string detail_;  // of the last decision
   uint16_t port_ = 0;
   PacketVerdict last_{PacketAction::kForward};
   Forwarder forwarder_;
@@ -384,6 +394,13 @@
   EXPECT_EQ(last_.reason, Reason::kOverload);
 }
 
+TEST_F(OverloadTest, SaysWhatDecided) {
+  // Without both numbers a refusal can't be told from a fault of the VM.
+  EXPECT_NE(detail_.find(", 16 requests of this VM in progress, limit 16"),
+            std::string::npos)
+      << detail_;
+}
+
 TEST_F(OverloadTest, DoesNotResetACopy) {
   // The first one may have gone through another VM, and opened the flow since.
   PacketHeader copy = Opening(++port_);
