--- a/src/app/forward_process.cc
+++ b/src/app/forward_process.cc
@@ -468,6 +468,7 @@
 }
 
 void ForwardProcess::Impl::Tick() {
+  store_->EndOverdueCall();
   if (registry_.Tick(SteadyNow())) {
     Publish();
   }
--- a/src/forward/flow_tracker.cc
+++ b/src/forward/flow_tracker.cc
@@ -7,15 +7,8 @@
 namespace {
 
 TimePoint EndOf(const TrackedFlow& flow) {
-  switch (flow.phase) {
-    case FlowPhase::kOpening:
-      return flow.opened + kOpeningLifetime;
-    case FlowPhase::kWorking:
-      return flow.worked + std::min(flow.overdue_after, kWorkLifetime);
-    case FlowPhase::kAnswered:
-      break;
-  }
-  return flow.worked + kWorkLifetime;
+  return flow.phase == FlowPhase::kOpening ? flow.opened + kOpeningLifetime
+                                           : flow.worked + kWorkLifetime;
 }
 
 }  // namespace
@@ -44,7 +37,9 @@
   flows_.erase(key);
 }
 
-void FlowTracker::Expire(TimePoint now, const Expired& expired) {
+void FlowTracker::Expire(TimePoint now,
+                         const Visit& overdue,
+                         const Visit& expired) {
   while (!expiry_.empty() && expiry_.front().at <= now) {
     const Due due = expiry_.front();
     expiry_.pop_front();
@@ -53,6 +48,11 @@
       continue;
     }
     TrackedFlow& flow = it->second;
+    if (flow.phase == FlowPhase::kWorking &&
+        flow.worked + flow.overdue_after <= now) {
+      overdue(due.key, flow);
+      flow.phase = FlowPhase::kOverdue;
+    }
     if (EndOf(flow) > now) {
       // Looked at again after one step, so that the queue stays in order.
       expiry_.push_back({due.key, now + kExpiryStep});
@@ -63,7 +63,7 @@
   }
 }
 
-void FlowTracker::RunChecks(TimePoint now, const Expired& check) {
+void FlowTracker::RunChecks(TimePoint now, const Visit& check) {
   while (!checks_.empty() && checks_.front().at <= now) {
     const Due due = checks_.front();
     checks_.pop_front();
--- a/src/forward/flow_tracker.h
+++ b/src/forward/flow_tracker.h
@@ -28,6 +28,7 @@
 enum class FlowPhase {
   kOpening,   // an opening was sent to a target
   kWorking,   // a request may be in progress at the target
+  kOverdue,   // the same for so long that it is not counted as work any more
   kAnswered,  // the response has begun
 };
 
@@ -56,16 +57,17 @@
   TrackedFlow* Add(const FlowKey& key, TimePoint now);
   void Remove(const FlowKey& key);
 
-  // Calls `expired` for each flow whose time is up and removes it.
-  using Expired = std::function<void(const FlowKey&, TrackedFlow&)>;
-  void Expire(TimePoint now, const Expired& expired);
+  // Calls `overdue` for each flow whose request becomes overdue, which changes
+  // its phase afterwards, and `expired` for each that is then removed.
+  using Visit = std::function<void(const FlowKey&, TrackedFlow&)>;
+  void Expire(TimePoint now, const Visit& overdue, const Visit& expired);
 
   // Asks to see an opening again at a time.
   void Schedule(const FlowKey& key, TimePoint at) {
     checks_.push_back({key, at});
   }
   // Calls `check` for the openings whose time has come.
-  void RunChecks(TimePoint now, const Expired& check);
+  void RunChecks(TimePoint now, const Visit& check);
 
   size_t size() const { return flows_.size(); }
 
--- a/src/forward/forwarder.cc
+++ b/src/forward/forwarder.cc
@@ -346,7 +346,8 @@
     ++entry.outstanding;
     flow->token = header.token;
     BeginWork(header, entry, *flow, now);
-  } else if (flow->phase == FlowPhase::kWorking &&
+  } else if ((flow->phase == FlowPhase::kWorking ||
+              flow->phase == FlowPhase::kOverdue) &&
              (header.acknowledged != flow->first_ack || header.fin)) {
     OnResponse(*flow, now);
   }
@@ -383,7 +384,9 @@
         kLeastSlowness,
         entry->slowness + kTargetSmoothing * (ratio - entry->slowness));
   }
-  TellAdmission(flow, now);
+  if (flow.phase != FlowPhase::kOverdue) {
+    TellAdmission(flow, now);
+  }
   Release(flow);
   flow.phase = FlowPhase::kAnswered;
 }
@@ -401,7 +404,8 @@
 }
 
 void Forwarder::Release(TrackedFlow& flow) {
-  if (flow.phase == FlowPhase::kAnswered || flow.token == TargetToken::kNone) {
+  if (flow.phase == FlowPhase::kAnswered || flow.phase == FlowPhase::kOverdue ||
+      flow.token == TargetToken::kNone) {
     return;
   }
   if (TargetEntry* entry = targets_.Find(flow.token);
@@ -417,12 +421,18 @@
   flows_.RunChecks(now, [&](const FlowKey& key, TrackedFlow& flow) {
     RepeatOpening(key, flow, now);
   });
-  flows_.Expire(now, [&](const FlowKey&, TrackedFlow& flow) {
-    if (flow.phase == FlowPhase::kWorking) {
-      TellAdmission(flow, now);
-    }
-    Release(flow);
-  });
+  flows_.Expire(
+      now,
+      [&](const FlowKey&, TrackedFlow& flow) {
+        const TargetEntry* entry = targets_.Find(flow.token);
+        // A target that answers others since is slow; one that does not may be
+        // dead, which says nothing about the load.
+        if (entry != nullptr && entry->last_answer > flow.worked) {
+          TellAdmission(flow, now);
+        }
+        Release(flow);
+      },
+      [&](const FlowKey&, TrackedFlow& flow) { Release(flow); });
 }
 
 }  // namespace marjoramhall::forward
--- a/src/net/packet_path.cc
+++ b/src/net/packet_path.cc
@@ -77,10 +77,11 @@
     while (!stopping_) {
       socket_.WaitReadable(kLargestWait);
       TakeView();
-      forwarder_.OnWake(BootNow());
       size_t n = 0;
       do {
         n = socket_.Receive(received_);
+        // After the packets were taken: a pause before that made them wait.
+        forwarder_.OnWake(BootNow());
         const TimePoint now = SteadyNow();
         for (size_t i = 0; i < n; ++i) {
           OnDatagram(i, now);
--- a/tests/forward/forwarder_test.cc
+++ b/tests/forward/forwarder_test.cc
@@ -6,7 +6,9 @@
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
 
+#include <cstring>
 #include <map>
+#include <utility>
 #include <vector>
 
 namespace marjoramhall::forward {
@@ -425,6 +427,84 @@
   EXPECT_EQ(Open(++port_).action, PacketAction::kForward);
 }
 
+// A forwarder with two targets, the first of which crashes.
+class CrashTest : public testing::Test {
+ protected:
+  CrashTest() : forwarder_({}, Hooks()) {
+    forwarder_.OnView(std::make_shared<View>(MakeView(2)));
+  }
+
+  ForwarderHooks Hooks() {
+    ForwarderHooks hooks = NoHooks();
+    hooks.may_log = [](bool, TimePoint) { return true; };
+    hooks.decide = [this](const Decision& it) {
+      suspects_ += it.outcome == "suspect" ? 1 : 0;
+    };
+    hooks.resend = [this](const BarePacket& opening, const Target& target) {
+      uint16_t port = 0;
+      std::memcpy(&port, &opening[1], sizeof(port));
+      resent_.emplace_back(port, target.token);
+    };
+    return hooks;
+  }
+
+  // Opening and one request of 5 ms, if the target lives.
+  void Serve(uint16_t port, TargetToken token) {
+    if (crashed_ && token == TargetToken{1}) {
+      return;
+    }
+    forwarder_.OnPacket(Later(port, token, 100, 10), {}, now_);
+    PacketHeader fin = Later(port, token, 200);
+    fin.fin = true;
+    now_ += milliseconds(5);
+    forwarder_.OnPacket(fin, {}, now_);
+  }
+
+  // Opens a flow. Returns whether it was let in.
+  bool Play() {
+    BarePacket bytes{1};
+    ++port_;
+    std::memcpy(&bytes[1], &port_, sizeof(port_));
+    const PacketVerdict verdict =
+        forwarder_.OnPacket(Opening(port_), bytes, now_);
+    if (verdict.action == PacketAction::kForward) {
+      Serve(port_, verdict.target->token);
+    }
+    now_ += milliseconds(5);
+    forwarder_.OnTick(now_);
+    for (const auto& [port, token] : std::exchange(resent_, {})) {
+      Serve(port, token);
+    }
+    return verdict.action != PacketAction::kReset;
+  }
+
+  TimePoint now_{seconds(1000)};
+  bool crashed_ = false;
+  uint16_t port_ = 1000;
+  int suspects_ = 0;
+  std::vector<std::pair<uint16_t, TargetToken>> resent_;
+  Forwarder forwarder_;
+};
+
+TEST_F(CrashTest, RequestsThatAreSentAgainAreNoLoad) {
+  for (int i = 0; i < 100; ++i) {
+    ASSERT_TRUE(Play());
+  }
+  crashed_ = true;
+  // 15 lasting flows wait for the dead target; their clients send the requests
+  // again and again.
+  for (int i = 0; i < 300; ++i) {
+    if (i % 20 == 0) {
+      for (uint16_t lasting = 1; lasting <= 15; ++lasting) {
+        forwarder_.OnPacket(Later(lasting, TargetToken{1}, 100, 10), {}, now_);
+      }
+    }
+    EXPECT_TRUE(Play()) << i;
+  }
+  // The target is found by new flows, so it must not look busy for long.
+  EXPECT_GE(suspects_, 1);
+}
+
 TEST(ForwarderPauseTest, DoesNotTakeItsOwnPauseForSlowTargets) {
   Forwarder forwarder({}, NoHooks());
   forwarder.OnView(std::make_shared<View>(MakeView(4)));
--- a/tests/platform/store_api_test.cc
+++ b/tests/platform/store_api_test.cc
@@ -4,8 +4,13 @@
 
 #include <gtest/gtest.h>
 
+#include <asio/io_context.hpp>
+#include <asio/ip/tcp.hpp>
+#include <atomic>
 #include <chrono>
+#include <csignal>
 #include <set>
+#include <thread>
 
 #include "platform/standin/store.h"
 
@@ -39,6 +44,37 @@
   std::unique_ptr<StoreApi> api_;
 };
 
+TEST(SilentStoreTest, EndsACallInTimeThoughSignalsInterruptIt) {
+  // A VM that is paused, continued or told to reload waits on a silent
+  // connection much longer than its limit otherwise, with an old view.
+  asio::io_context io;
+  asio::ip::tcp::acceptor silent(io,
+                                 {asio::ip::make_address_v4("127.0.0.1"), 0});
+  StoreApiOptions options;
+  options.address = {kAnyPort.address, silent.local_endpoint().port()};
+  options.watch_slack = milliseconds(300);
+  StoreApi api(options);
+  struct sigaction interrupt {};
+  interrupt.sa_handler = [](int) {};
+  sigaction(SIGUSR1, &interrupt, nullptr);
+  std::atomic<bool> ended{false};
+  ReadStatus status = ReadStatus::kOk;
+  std::thread caller([&] {
+    status = api.Watch(1, milliseconds(300)).status;
+    ended = true;
+  });
+  // Limit 0.6 s, connection 0.25 s; the rest allows for a busy machine.
+  const auto give_up = std::chrono::steady_clock::now() + seconds(5);
+  while (!ended && std::chrono::steady_clock::now() < give_up) {
+    std::this_thread::sleep_for(milliseconds(100));
+    pthread_kill(caller.native_handle(), SIGUSR1);
+    api.EndOverdueCall();
+  }
+  EXPECT_TRUE(ended);
+  caller.join();
+  EXPECT_EQ(status, ReadStatus::kNoAnswer);
+}
+
 TEST_F(StoreApiTest, ListsAllPages) {
   for (uint64_t i = 10; i < 30; ++i) {
     store_.PutTarget(Record(i));
