--- a/src/forward/admission.cc
+++ b/src/forward/admission.cc
@@ -16,7 +16,7 @@
 constexpr double kLargestGrowth = 2.0;
 constexpr double kLargestCut = 0.75;
 constexpr double kCutExponent = 0.5;
-// An unused limit returns to the first one by this factor a window.
+// A limit that is not in use returns to the idle one by this factor a window.
 constexpr double kReturn = 0.8;
 constexpr double kLeastLimit = 1.0;
 // Weight of a window in the usual response time.
--- a/src/forward/admission.h
+++ b/src/forward/admission.h
@@ -85,8 +85,8 @@
     uint32_t responses = 0;   // in this window
     double pressure_sum = 0;  // of response time over the longest acceptable
     double seconds_sum = 0;   // of response times
-    double usual_seconds =
-        0;  // smoothed while the service is not busy; 0: none
+    // Response time, smoothed while the limit is not in use; 0: none so far.
+    double usual_seconds = 0;
   };
 
   ServiceState& StateOf(ServiceId service);
