Keep the text of a log line alive until it is written

Ruled out: other fields of decisions; a search of all assignments found only this one.

Change: the string outlives the line. The views of a decision are of a type that a temporary string does not convert to, so that the same mistake does not compile.

--- a/src/base/decision.h
+++ b/src/base/decision.h
@@ -6,8 +6,8 @@
 #include <cstdint>
 #include <functional>
 #include <span>
-#include <string_view>
 
+#include "src/base/borrowed_text.h"
 #include "src/base/enum_names.h"
 #include "src/base/ids.h"
 
@@ -56,10 +56,10 @@
   VmId vm = VmId::kNone;
   Revision revision = 0;
   // What was decided and why, from a fixed set of short phrases.
-  std::string_view outcome;
-  std::string_view reason;
+  BorrowedText outcome;
+  BorrowedText reason;
   // Free text for rare events such as membership and configuration changes.
-  std::string_view detail;
+  BorrowedText detail;
 };
 
 // Must not block. Called on the thread of the deciding plane.
--- a/src/discovery/target_registry.cc
+++ b/src/discovery/target_registry.cc
@@ -184,11 +184,12 @@
       IdOf(share.service);
     }
   }
+  const std::string detail = std::to_string(config.routes.size()) + " routes";
   Decision decision;
   decision.kind = DecisionKind::kConfiguration;
   decision.revision = config.version;
   decision.outcome = "in-force";
-  decision.detail = std::to_string(config.routes.size()) + " routes";
+  decision.detail = detail;
   decide_(decision);
   return true;
 }
