Serve sooner after a start: HTTP on Asio, and no shared libraries

Debian has cpp-httplib as a shared library only, so that nothing else could be linked statically.

Calls of the store are counted in the metrics, by kind and outcome; items of the store that have no key are faults with a log line, an answer that can't be read is told from none.

--- a/src/app/forward_metrics.cc
+++ b/src/app/forward_metrics.cc
@@ -1,7 +1,11 @@
 // Names and help texts.
 #include "src/app/forward_metrics.h"
 
+#include <map>
 #include <string>
+#include <utility>
+
+#include "platform/store_api.h"
 
 namespace marjoramhall::app {
 namespace {
@@ -67,4 +71,21 @@
                     gauges.ready);
 }
 
+std::function<void(std::string_view call, discovery::ReadStatus)>
+AddStoreMetrics(observe::MetricsRegistry& registry) {
+  std::map<std::pair<std::string, discovery::ReadStatus>, observe::Counter*>
+      counters;
+  for (const char* call : {platform::kListCall, platform::kWatchCall}) {
+    for (const auto& it : discovery::kReadStatusNames) {
+      counters[{call, it.value}] = &registry.AddCounter(
+          "marjoramhall_store_calls_total",
+          "Calls of the platform's store by kind and outcome.",
+          {{"call", call}, {"outcome", std::string(it.name)}});
+    }
+  }
+  return [counters](std::string_view call, discovery::ReadStatus status) {
+    counters.at({std::string(call), status})->Add();
+  };
+}
+
 }  // namespace marjoramhall::app
--- a/src/app/forward_metrics.h
+++ b/src/app/forward_metrics.h
@@ -3,7 +3,9 @@
 #define MARJORAMHALL_APP_FORWARD_METRICS_H_
 
 #include <functional>
+#include <string_view>
 
+#include "src/discovery/store_follower.h"
 #include "src/net/packet_path.h"
 #include "src/observe/metrics.h"
 
@@ -23,6 +25,11 @@
                        const std::function<net::PacketStats()>& packets,
                        const ForwardGauges& gauges);
 
+// Registers the counts of store calls by kind and outcome. Returns what counts
+// a call, from any thread.
+std::function<void(std::string_view call, discovery::ReadStatus)>
+AddStoreMetrics(observe::MetricsRegistry& registry);
+
 }  // namespace marjoramhall::app
 
 #endif  // MARJORAMHALL_APP_FORWARD_METRICS_H_
--- a/src/app/forward_process.cc
+++ b/src/app/forward_process.cc
@@ -1,12 +1,11 @@
 // Composition of `marjoramhall forward`.
 //
-// The calling thread holds the control state: targets, configuration, signals.
-// One thread forwards packets, one follows the platform's store. They exchange
-// immutable views and decoded changes, posted to the other thread.
+// The calling thread holds the control state: targets, configuration, signals,
+// and answers readiness checks, metrics and snapshots. One thread forwards
+// packets, one follows the platform's store. They exchange immutable views and
+// decoded changes, posted to the other thread.
 #include "src/app/forward_process.h"
 
-#include <algorithm>
-#include <asio/executor_work_guard.hpp>
 #include <asio/io_context.hpp>
 #include <asio/post.hpp>
 #include <asio/signal_set.hpp>
@@ -14,21 +13,19 @@
 #include <atomic>
 #include <charconv>
 #include <chrono>
-#include <condition_variable>
 #include <csignal>
 #include <mutex>
 #include <optional>
 #include <random>
 #include <string_view>
-#include <thread>
 #include <utility>
 
 #include "platform/packet_codec.h"
 #include "platform/ready_paths.h"
-#include "platform/store_api.h"
 #include "src/app/forward_metrics.h"
+#include "src/app/stop_condition.h"
+#include "src/app/store_thread.h"
 #include "src/discovery/snapshot_codec.h"
-#include "src/discovery/store_follower.h"
 #include "src/discovery/target_registry.h"
 #include "src/net/packet_path.h"
 #include "src/net/peer_announcer.h"
@@ -45,23 +42,7 @@
 constexpr auto kTickInterval = std::chrono::milliseconds(250);
 // Also bounds how often left-out lines are reported.
 constexpr auto kLogInterval = std::chrono::seconds(2);
-// The fabric turns away after it was refused twice; packets on their way arrive
-// within this time.
-constexpr uint64_t kRefusalsBeforeStop = 2;
-constexpr Duration kQuietBeforeStop = std::chrono::milliseconds(100);
-// A fabric that goes on sending (it has too few other VMs) is left after this;
-// the platform kills after 6 s.
-constexpr Duration kLongestStop = std::chrono::milliseconds(4000);
 constexpr auto kStopInterval = std::chrono::milliseconds(20);
-// Part of the bound of changes that a watch may rest between two calls; the
-// rest is for the call, and for one that has to be repeated.
-constexpr int kGatherPart = 3;
-constexpr Duration kLongestGather = std::chrono::seconds(2);
-// How long a watch waits for changes. A connection that fell silent is noticed
-// after this and the answer's time limit, which together stay below the time in
-// which the platform counts a VM with such a connection as disturbed, and the
-// bound of changes after it.
-constexpr Duration kWatchWait = std::chrono::seconds(4);
 // Lines that wait for the log's thread, about 400 bytes each.
 constexpr size_t kLogLines = 512;
 
@@ -121,16 +102,13 @@
 
 struct ForwardProcess::Impl {
   Impl(const settings::Settings& chosen, std::filesystem::path file);
-  ~Impl();
 
   std::string Open();
   int Run();
 
  private:
-  void StartFollower(const Endpoint& store);
-  discovery::StoreFollower::Hooks FollowerHooks();
-  std::optional<discovery::Listing> AskPeers(uint64_t newer_than);
-  void Sleep(Duration span);
+  StoreThreadHooks StoreHooks();
+  std::vector<Endpoint> Peers() const;
   void OnListing(const discovery::Listing& listing);
   void OnChanges(const std::vector<discovery::StoreChange>& changes,
                  uint64_t revision);
@@ -138,51 +116,44 @@
   void Publish();
   void WaitForSignal();
   void BeginStop();
-  void StopWhenQuiet(TimePoint began, uint64_t packets, TimePoint changed_at);
+  void EndWhenQuiet();
   void Reload();
   void Tick();
   void MaintainLog();
   DecisionHook TargetHook();
   net::PacketPath::Hooks PathHooks();
   ForwardGauges Gauges();
+  std::vector<net::StatusRoute> PeerPages();
   net::StatusPage Readiness();
   net::StatusPage SnapshotPage(const net::QueryParameter& query);
 
+  // Control thread only, except where stated.
   const settings::Settings settings_;
   const std::filesystem::path file_;
-  observe::DecisionLog log_;
+  observe::DecisionLog log_;  // any thread
   asio::io_context io_;
   asio::signal_set signals_;
   asio::steady_timer tick_timer_;
   asio::steady_timer log_timer_;
   asio::steady_timer stop_timer_;
-  observe::LogBudget target_lines_{{}};  // control thread only
+  observe::LogBudget target_lines_{{}};
   discovery::TargetRegistry registry_;
   observe::MetricsRegistry metrics_;
   net::PacketPath path_;
-  std::unique_ptr<platform::StoreApi> store_;
-  std::unique_ptr<discovery::StoreFollower> follower_;
   net::StatusServer status_;
   net::StatusServer peers_;
   net::PeerAnnouncer announcer_;
-  std::thread follower_thread_;
-  uint64_t unlogged_reported_ = 0;     // control thread only
-  std::atomic<uint64_t> refusals_{0};  // of readiness since the stop began
+  bool ready_ = false;
+  std::optional<StopCondition> stop_;  // set: readiness is withdrawn
+  uint64_t unlogged_reported_ = 0;
+  std::string snapshot_;  // of the registry at snapshot_revision_
+  uint64_t snapshot_revision_ = 0;
+  std::atomic<Duration::rep> confirmed_at_{0};  // of SteadyNow(), any thread
 
   mutable std::mutex mutex_;
-  std::condition_variable end_;
-  // Guarded by mutex_.
-  std::string snapshot_;
-  uint64_t snapshot_revision_ = 0;
-  std::vector<Endpoint> seeds_;  // of the settings read last
-
-  // Set by the control thread, read by all.
-  std::atomic<uint64_t> config_version_{0};
-  std::atomic<size_t> targets_{0};
-  std::atomic<Duration::rep> confirmed_at_{0};  // of SteadyNow()
-  std::atomic<bool> ready_{false};
-  std::atomic<bool> stopping_{false};  // readiness is withdrawn
-  std::atomic<bool> ending_{false};    // threads are to end
+  std::vector<Endpoint> seeds_;  // of the settings read last; guarded by mutex_
+
+  std::optional<StoreThread> store_;  // ends first: it uses what is above
 };
 
 ForwardProcess::Impl::Impl(const settings::Settings& chosen,
@@ -196,18 +167,11 @@
       stop_timer_(io_),
       registry_(RegistryOptions(chosen), TargetHook()),
       path_(PathOptions(chosen), platform::MakePacketCodec(), PathHooks()),
-      status_(chosen.forward.status,
+      status_(io_,
+              chosen.forward.status,
               {{platform::kReadyPath,
                 [this](const net::QueryParameter&) { return Readiness(); }}}),
-      peers_(chosen.forward.peers,
-             {{net::kSnapshotPath,
-               [this](const net::QueryParameter& query) {
-                 return SnapshotPage(query);
-               }},
-              {kMetricsPath,
-               [this](const net::QueryParameter&) {
-                 return net::StatusPage{kStatusOk, metrics_.Render()};
-               }}}),
+      peers_(io_, chosen.forward.peers, PeerPages()),
       announcer_(io_,
                  AnnouncerOptions(chosen),
                  [this] { return registry_.revision(); }),
@@ -216,6 +180,16 @@
       metrics_, [this] { return path_.Snapshot(); }, Gauges());
 }
 
+std::vector<net::StatusRoute> ForwardProcess::Impl::PeerPages() {
+  return {{net::kSnapshotPath,
+           [this](const net::QueryParameter& query) {
+             return SnapshotPage(query);
+           }},
+          {kMetricsPath, [this](const net::QueryParameter&) {
+             return net::StatusPage{kStatusOk, metrics_.Render()};
+           }}};
+}
+
 // All targets change at once when a VM starts or a service is released.
 DecisionHook ForwardProcess::Impl::TargetHook() {
   return [this, write = log_.Hook()](const Decision& it) {
@@ -238,25 +212,14 @@
 }
 
 ForwardGauges ForwardProcess::Impl::Gauges() {
-  return {[this] { return static_cast<double>(config_version_.load()); },
+  return {[this] { return static_cast<double>(registry_.config_version()); },
           [this] {
             const Duration age =
                 SteadyNow().time_since_epoch() - Duration(confirmed_at_.load());
             return std::chrono::duration<double>(age).count();
           },
-          [this] { return static_cast<double>(targets_.load()); },
-          [this] { return ready_ && !stopping_ ? 1.0 : 0.0; }};
-}
-
-ForwardProcess::Impl::~Impl() {
-  ending_ = true;
-  end_.notify_all();
-  if (store_) {
-    store_->Stop();
-  }
-  if (follower_thread_.joinable()) {
-    follower_thread_.join();
-  }
+          [this] { return static_cast<double>(registry_.target_count()); },
+          [this] { return ready_ && !stop_ ? 1.0 : 0.0; }};
 }
 
 std::string ForwardProcess::Impl::Open() {
@@ -271,30 +234,18 @@
     }
   }
   log_.Message(LogLevel::kInfo, "started, version " MARJORAMHALL_VERSION);
-  StartFollower(*store);
-  return "";
-}
-
-void ForwardProcess::Impl::StartFollower(const Endpoint& store) {
-  platform::StoreApiOptions api;
-  api.address = store;
-  store_ = std::make_unique<platform::StoreApi>(std::move(api));
-  discovery::FollowerOptions options;
-  options.watch_wait = kWatchWait;
-  options.gather =
-      std::min(settings_.forward.change_bound / kGatherPart, kLongestGather);
+  StoreThreadOptions options;
+  options.store = *store;
+  options.own_snapshot = settings_.forward.peers;
+  options.change_bound = settings_.forward.change_bound;
   options.seed = RandomSeed();
-  discovery::StoreReader reader = store_->Reader();
-  reader.ask_peers = [this](uint64_t newer_than) {
-    return AskPeers(newer_than);
-  };
-  follower_ = std::make_unique<discovery::StoreFollower>(
-      options, std::move(reader), FollowerHooks());
-  follower_thread_ = std::thread([this] { follower_->Run(); });
+  store_.emplace(options, StoreHooks());
+  store_->Start();
+  return "";
 }
 
-discovery::StoreFollower::Hooks ForwardProcess::Impl::FollowerHooks() {
-  discovery::StoreFollower::Hooks hooks;
+StoreThreadHooks ForwardProcess::Impl::StoreHooks() {
+  StoreThreadHooks hooks;
   hooks.on_listing = [this](discovery::Listing listing) {
     asio::post(io_,
                [this, listing = std::move(listing)] { OnListing(listing); });
@@ -313,27 +264,16 @@
     asio::post(io_,
                [this, reachable, status] { OnReachable(reachable, status); });
   };
-  hooks.sleep = [this](Duration span) { Sleep(span); };
-  hooks.now = SteadyNow;
-  hooks.stopping = [this] { return ending_.load(); };
+  hooks.on_call = AddStoreMetrics(metrics_);
+  hooks.peers = [this] { return Peers(); };
   return hooks;
 }
 
-void ForwardProcess::Impl::Sleep(Duration span) {
-  std::unique_lock lock(mutex_);
-  end_.wait_for(lock, span, [this] { return ending_.load(); });
-}
-
-std::optional<discovery::Listing> ForwardProcess::Impl::AskPeers(
-    uint64_t newer_than) {
+std::vector<Endpoint> ForwardProcess::Impl::Peers() const {
   std::vector<Endpoint> peers = announcer_.RecentPeers();
-  {
-    const std::lock_guard lock(mutex_);
-    peers.insert(peers.end(), seeds_.begin(), seeds_.end());
-  }
-  std::erase(peers, settings_.forward.peers);
-  const auto bytes = net::FetchSnapshot(peers, newer_than);
-  return bytes ? discovery::DecodeSnapshot(*bytes) : std::nullopt;
+  const std::lock_guard lock(mutex_);
+  peers.insert(peers.end(), seeds_.begin(), seeds_.end());
+  return peers;
 }
 
 void ForwardProcess::Impl::OnListing(const discovery::Listing& listing) {
@@ -361,14 +301,6 @@
 
 void ForwardProcess::Impl::Publish() {
   path_.PostView(registry_.MakeView());
-  config_version_ = registry_.config_version();
-  targets_ = registry_.target_count();
-  if (registry_.config_version() > 0) {
-    std::string snapshot = discovery::EncodeSnapshot(registry_.Snapshot());
-    const std::lock_guard lock(mutex_);
-    snapshot_ = std::move(snapshot);
-    snapshot_revision_ = registry_.revision();
-  }
   if (!ready_ && registry_.config_version() > 0 &&
       registry_.target_count() > 0) {
     ready_ = true;
@@ -377,12 +309,11 @@
 }
 
 net::StatusPage ForwardProcess::Impl::Readiness() {
-  const bool ready = ready_ && !stopping_;
-  if (stopping_) {
-    ++refusals_;
+  if (stop_) {
+    stop_->OnRefusal();
   }
-  return {ready ? kStatusOk : kStatusUnavailable,
-          ready ? "ready\n" : "not ready\n"};
+  return ready_ && !stop_ ? net::StatusPage{kStatusOk, "ready\n"}
+                          : net::StatusPage{kStatusUnavailable, "not ready\n"};
 }
 
 net::StatusPage ForwardProcess::Impl::SnapshotPage(
@@ -390,11 +321,17 @@
   const std::string text = query(net::kNewerThan);
   uint64_t newer_than = 0;
   std::from_chars(text.data(), text.data() + text.size(), newer_than);
-  const std::lock_guard lock(mutex_);
-  if (snapshot_revision_ == 0) {
+  if (registry_.config_version() == 0) {
     return {kStatusUnavailable, ""};
   }
-  return {kStatusOk, snapshot_revision_ > newer_than ? snapshot_ : ""};
+  if (registry_.revision() <= newer_than) {
+    return {kStatusOk, ""};
+  }
+  if (snapshot_revision_ != registry_.revision()) {
+    snapshot_ = discovery::EncodeSnapshot(registry_.Snapshot());
+    snapshot_revision_ = registry_.revision();
+  }
+  return {kStatusOk, snapshot_};
 }
 
 int ForwardProcess::Impl::Run() {
@@ -421,33 +358,21 @@
 }
 
 void ForwardProcess::Impl::BeginStop() {
-  if (stopping_.exchange(true)) {
+  if (stop_) {
     return;
   }
   log_.Message(LogLevel::kInfo, "stopping: readiness withdrawn");
-  const TimePoint now = SteadyNow();
-  StopWhenQuiet(now, path_.Snapshot().counters.packets, now);
+  stop_.emplace(StopOptions{}, path_.Snapshot().counters.packets, SteadyNow());
+  EndWhenQuiet();
 }
 
-void ForwardProcess::Impl::StopWhenQuiet(TimePoint began,
-                                         uint64_t packets,
-                                         TimePoint changed_at) {
-  const TimePoint now = SteadyNow();
-  const uint64_t packets_now = path_.Snapshot().counters.packets;
-  if (packets_now != packets) {
-    changed_at = now;
-  }
-  const bool quiet =
-      refusals_ >= kRefusalsBeforeStop && now - changed_at >= kQuietBeforeStop;
-  if (quiet || now - began >= kLongestStop) {
+void ForwardProcess::Impl::EndWhenQuiet() {
+  if (stop_->MayEnd(path_.Snapshot().counters.packets, SteadyNow())) {
     io_.stop();
     return;
   }
   stop_timer_.expires_after(kStopInterval);
-  stop_timer_.async_wait(
-      [this, began, packets_now, changed_at](const std::error_code&) {
-        StopWhenQuiet(began, packets_now, changed_at);
-      });
+  stop_timer_.async_wait([this](const std::error_code&) { EndWhenQuiet(); });
 }
 
 void ForwardProcess::Impl::Reload() {
--- a/src/app/main.cc
+++ b/src/app/main.cc
@@ -13,12 +13,14 @@
      marjoramhall::app::RunForward},
     {"check", "check a settings file and its deployment",
      marjoramhall::app::RunCheck},
+#ifdef MARJORAMHALL_RUN
     {"status", "print revisions, VMs and targets",
      marjoramhall::app::RunStatus},
     {"plan", "show what a change would do", marjoramhall::app::RunPlan},
     {"confirm", "put a plan in force", marjoramhall::app::RunConfirm},
     {"drain", "take a target out of service without cutting its work",
      marjoramhall::app::RunDrain},
+#endif
     {"version", "print the version", marjoramhall::app::RunVersion},
 };
 
--- a/src/discovery/store_follower.h
+++ b/src/discovery/store_follower.h
@@ -21,12 +21,14 @@
   kOk,
   kHistoryGone,  // the watched revision is no longer available
   kRefused,      // the store answered that it does not serve this call now
-  kNoAnswer,     // no connection, no answer in time, or an unreadable one
+  kUnreadable,   // the answer could not be understood
+  kNoAnswer,     // no connection, or no whole answer in time
 };
 inline constexpr EnumName<ReadStatus> kReadStatusNames[] = {
     {ReadStatus::kOk, "ok"},
     {ReadStatus::kHistoryGone, "history-gone"},
     {ReadStatus::kRefused, "refused"},
+    {ReadStatus::kUnreadable, "unreadable"},
     {ReadStatus::kNoAnswer, "no-answer"},
 };
 constexpr std::span<const EnumName<ReadStatus>> NamesOf(ReadStatus) {
--- a/src/net/snapshot_client.cc
+++ b/src/net/snapshot_client.cc
@@ -1,16 +1,16 @@
-// The client on cpp-httplib.
+// The client on HttpClient.
 #include "src/net/snapshot_client.h"
 
 #include <chrono>
 
-#include "src/net/http_library.h"
+#include "src/net/http_client.h"
 
 namespace marjoramhall::net {
 namespace {
 
 // Peers are at most a millisecond away; the rest allows for a busy one.
-constexpr auto kConnectTimeout = std::chrono::milliseconds(200);
-constexpr auto kAnswerTimeout = std::chrono::milliseconds(400);
+constexpr auto kConnectLimit = std::chrono::milliseconds(200);
+constexpr auto kAnswerLimit = std::chrono::milliseconds(400);
 
 constexpr int kStatusOk = 200;
 
@@ -21,11 +21,8 @@
   const std::string path = std::string(kSnapshotPath) + "?" + kNewerThan + "=" +
                            std::to_string(newer_than);
   for (const Endpoint& peer : peers) {
-    httplib::Client client(peer.address.ToString(), peer.port);
-    client.set_connection_timeout(kConnectTimeout);
-    client.set_read_timeout(kAnswerTimeout);
-    client.set_write_timeout(kAnswerTimeout);
-    auto answer = client.Get(path);
+    HttpClient client({peer, kConnectLimit});
+    auto answer = client.Get(path, kAnswerLimit);
     if (answer && answer->status == kStatusOk && !answer->body.empty()) {
       return std::move(answer->body);
     }
--- a/src/net/status_server.cc
+++ b/src/net/status_server.cc
@@ -1,62 +1,212 @@
-// The server on cpp-httplib.
+// The server on Asio, with the request parser of Boost.Beast.
 #include "src/net/status_server.h"
 
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <array>
+#include <asio/buffer.hpp>
+#include <asio/io_context.hpp>
+#include <asio/ip/tcp.hpp>
+#include <asio/steady_timer.hpp>
+#include <asio/write.hpp>
+#include <boost/beast/http/empty_body.hpp>
+#include <boost/beast/http/parser.hpp>
 #include <chrono>
-#include <thread>
 #include <utility>
 
-#include "src/net/http_library.h"
-
 namespace marjoramhall::net {
 namespace {
 
-// Two, so that one caller that is slow to send its request holds up no other.
-constexpr size_t kThreads = 2;
+namespace http = boost::beast::http;
+using asio::ip::tcp;
+
 // A readiness check comes twice a second; a slower one has failed anyway.
-constexpr auto kReadTimeout = std::chrono::milliseconds(500);
+constexpr auto kConnectionLimit = std::chrono::milliseconds(500);
+// Callers are the routers, monitoring, and VMs that ask for a snapshot.
+constexpr size_t kLargestConnections = 64;
+constexpr size_t kRequestBytes = 4096;
+
+constexpr int kStatusBadRequest = 400;
+constexpr int kStatusNotFound = 404;
+constexpr int kStatusNoSuchMethod = 405;
+
+std::string ParameterOf(std::string_view query, std::string_view name) {
+  while (!query.empty()) {
+    const std::string_view part = query.substr(0, query.find('&'));
+    query.remove_prefix(std::min(query.size(), part.size() + 1));
+    if (part.starts_with(name) && part.size() > name.size() &&
+        part[name.size()] == '=') {
+      return std::string(part.substr(name.size() + 1));
+    }
+  }
+  return "";
+}
 
 }  // namespace
 
-struct StatusServer::Impl {
-  Endpoint listen;
-  httplib::Server server;
-  std::thread thread;
-};
+struct StatusServer::Impl : std::enable_shared_from_this<Impl> {
+  struct Connection {
+    explicit Connection(tcp::socket accepted)
+        : socket(std::move(accepted)), limit(socket.get_executor()) {}
 
-StatusServer::StatusServer(Endpoint listen, std::vector<StatusRoute> routes)
-    : impl_(std::make_unique<Impl>()) {
-  impl_->listen = listen;
-  httplib::Server& server = impl_->server;
-  server.new_task_queue = [] { return new httplib::ThreadPool(kThreads); };
-  server.set_keep_alive_max_count(1);
-  server.set_read_timeout(kReadTimeout);
-  server.set_write_timeout(kReadTimeout);
-  for (StatusRoute& it : routes) {
-    server.Get(it.path, [page = std::move(it.page)](
-                            const httplib::Request& request,
-                            httplib::Response& answer) {
-      StatusPage content =
-          page([&](const char* name) { return request.get_param_value(name); });
-      answer.status = content.status;
-      answer.set_content(content.text, "text/plain; version=0.0.4");
+    tcp::socket socket;
+    asio::steady_timer limit;
+    std::array<char, kRequestBytes> buf{};
+    size_t received = 0;
+    http::request_parser<http::empty_body> parser;
+    std::string answer;
+  };
+  using ConnectionPtr = std::shared_ptr<Connection>;
+
+  Impl(asio::io_context& io, Endpoint endpoint, std::vector<StatusRoute> given)
+      : listen(endpoint), routes(std::move(given)), acceptor(io) {}
+
+  void Accept() {
+    acceptor.async_accept([self = shared_from_this()](std::error_code ec,
+                                                      tcp::socket socket) {
+      if (ec == asio::error::operation_aborted || !self->acceptor.is_open()) {
+        return;
+      }
+      // One connection more than allowed is closed by leaving this scope.
+      if (!ec && self->connections < kLargestConnections) {
+        self->Serve(std::make_shared<Connection>(std::move(socket)));
+      }
+      self->Accept();
     });
   }
-}
 
-StatusServer::~StatusServer() {
-  impl_->server.stop();
-  if (impl_->thread.joinable()) {
-    impl_->thread.join();
+  void Serve(const ConnectionPtr& it) {
+    ++connections;
+    it->limit.expires_after(kConnectionLimit);
+    it->limit.async_wait([it](std::error_code ec) {
+      if (!ec) {
+        std::error_code closed;
+        it->socket.close(closed);  // ends the operation that is running
+      }
+    });
+    Read(it);
+  }
+
+  void Read(const ConnectionPtr& it) {
+    it->socket.async_read_some(
+        asio::buffer(it->buf.data() + it->received,
+                     it->buf.size() - it->received),
+        [self = shared_from_this(), it](std::error_code ec, size_t n) {
+          if (ec) {
+            self->End(*it);
+            return;
+          }
+          it->received += n;
+          self->OnBytes(it);
+        });
+  }
+
+  void OnBytes(const ConnectionPtr& it) {
+    boost::beast::error_code ec;
+    const size_t used =
+        it->parser.put(boost::asio::buffer(it->buf.data(), it->received), ec);
+    std::copy(it->buf.begin() + static_cast<ptrdiff_t>(used),
+              it->buf.begin() + static_cast<ptrdiff_t>(it->received),
+              it->buf.begin());
+    it->received -= used;
+    const bool incomplete =
+        (!ec || ec == http::error::need_more) && !it->parser.is_header_done();
+    if (incomplete && it->received < it->buf.size()) {
+      Read(it);
+    } else if (it->parser.is_header_done()) {
+      Answer(it, PageOf(it->parser.get()));
+    } else {
+      Answer(it, {kStatusBadRequest, "request not understood\n"});
+    }
+  }
+
+  StatusPage PageOf(const http::request<http::empty_body>& request) const {
+    if (request.method() != http::verb::get) {
+      return {kStatusNoSuchMethod, "only GET is served\n"};
+    }
+    const std::string_view target(request.target().data(),
+                                  request.target().size());
+    const std::string_view path = target.substr(0, target.find('?'));
+    const std::string_view query =
+        target.substr(std::min(target.size(), path.size() + 1));
+    const auto route =
+        std::find_if(routes.begin(), routes.end(),
+                     [&](const StatusRoute& it) { return it.path == path; });
+    return route == routes.end() ? StatusPage{kStatusNotFound, "no such page\n"}
+                                 : route->page([query](std::string_view name) {
+                                     return ParameterOf(query, name);
+                                   });
+  }
+
+  void Answer(const ConnectionPtr& it, const StatusPage& page) {
+    const auto reason =
+        http::obsolete_reason(static_cast<http::status>(page.status));
+    it->answer = fmt::format(
+        "HTTP/1.1 {} {}\r\nContent-Type: text/plain; version=0.0.4\r\n"
+        "Content-Length: {}\r\nConnection: close\r\n\r\n{}",
+        page.status, std::string_view(reason.data(), reason.size()),
+        page.text.size(), page.text);
+    asio::async_write(
+        it->socket, asio::buffer(it->answer),
+        [self = shared_from_this(), it](std::error_code ec, size_t) {
+          if (!ec) {
+            it->socket.shutdown(tcp::socket::shutdown_send, ec);
+          }
+          self->End(*it);
+        });
   }
+
+  void End(Connection& connection) {
+    connection.limit.cancel();
+    --connections;
+  }
+
+  const Endpoint listen;
+  const std::vector<StatusRoute> routes;
+  tcp::acceptor acceptor;
+  size_t connections = 0;
+};
+
+StatusServer::StatusServer(asio::io_context& io,
+                           Endpoint listen,
+                           std::vector<StatusRoute> routes)
+    : impl_(std::make_shared<Impl>(io, listen, std::move(routes))) {}
+
+StatusServer::~StatusServer() {
+  std::error_code ec;
+  impl_->acceptor.close(ec);  // an error leaves it closed all the same
 }
 
 std::string StatusServer::Open() {
-  if (!impl_->server.bind_to_port(impl_->listen.address.ToString(),
-                                  impl_->listen.port)) {
-    return "cannot listen on " + impl_->listen.ToString();
+  const tcp::endpoint local(
+      asio::ip::make_address_v4(impl_->listen.address.ToV4()),
+      impl_->listen.port);
+  tcp::acceptor& acceptor = impl_->acceptor;
+  std::error_code ec;
+  acceptor.open(local.protocol(), ec);
+  if (!ec) {
+    acceptor.set_option(tcp::acceptor::reuse_address(true), ec);
+  }
+  if (!ec) {
+    acceptor.bind(local, ec);
   }
-  impl_->thread = std::thread([this] { impl_->server.listen_after_bind(); });
+  if (!ec) {
+    acceptor.listen(asio::socket_base::max_listen_connections, ec);
+  }
+  if (ec) {
+    return "cannot listen on " + impl_->listen.ToString() + ": " + ec.message();
+  }
+  impl_->Accept();
   return "";
 }
 
+Endpoint StatusServer::LocalEndpoint() const {
+  std::error_code ec;
+  const tcp::endpoint local = impl_->acceptor.local_endpoint(ec);
+  return ec ? Endpoint{}
+            : Endpoint{IpAddress::FromV4(local.address().to_v4().to_uint()),
+                       local.port()};
+}
+
 }  // namespace marjoramhall::net
--- a/src/net/status_server.h
+++ b/src/net/status_server.h
@@ -1,15 +1,20 @@
-// A small HTTP/1.1 server for readiness, metrics and snapshots. It holds no
-// connections.
+// A small HTTP/1.1 server for readiness, metrics and snapshots. It runs on the
+// thread of its io_context and answers one request a connection.
 #ifndef MARJORAMHALL_NET_STATUS_SERVER_H_
 #define MARJORAMHALL_NET_STATUS_SERVER_H_
 
 #include <functional>
 #include <memory>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "src/base/endpoint.h"
 
+namespace asio {
+class io_context;
+}
+
 namespace marjoramhall::net {
 
 struct StatusPage {
@@ -17,29 +22,33 @@
   std::string text;
 };
 
-// Returns a parameter of the query, or an empty string.
-using QueryParameter = std::function<std::string(const char* name)>;
+// Returns a parameter of the query as it was sent, or an empty string.
+using QueryParameter = std::function<std::string(std::string_view name)>;
 
 struct StatusRoute {
   std::string path;
-  // Called on a thread of the server.
+  // Called on the thread of the io_context; must not block.
   std::function<StatusPage(const QueryParameter& query)> page;
 };
 
 class StatusServer {
  public:
-  StatusServer(Endpoint listen, std::vector<StatusRoute> routes);
+  StatusServer(asio::io_context& io,
+               Endpoint listen,
+               std::vector<StatusRoute> routes);
   ~StatusServer();
   StatusServer(const StatusServer&) = delete;
   StatusServer& operator=(const StatusServer&) = delete;
 
-  // Listens and starts the threads. Returns an error that names the address, or
-  // an empty string.
+  // Listens. Returns an error that names the address, or an empty string.
   std::string Open();
 
+  // Where it listens, for tests that let the system choose the port.
+  Endpoint LocalEndpoint() const;
+
  private:
   struct Impl;
-  std::unique_ptr<Impl> impl_;
+  std::shared_ptr<Impl> impl_;  // shared with the connections
 };
 
 }  // namespace marjoramhall::net
--- a/tests/app/forward_process_test.cc
+++ b/tests/app/forward_process_test.cc
@@ -138,6 +138,10 @@
       << metrics;
   EXPECT_NE(metrics.find("marjoramhall_forward_response_seconds_bucket"),
             std::string::npos);
+  EXPECT_NE(metrics.find("marjoramhall_store_calls_total{call=\"list\","
+                         "outcome=\"ok\"} 1"),
+            std::string::npos)
+      << metrics;
 
   EXPECT_TRUE(net::FetchSnapshot({settings_.forward.peers}, 0));
   EXPECT_FALSE(net::FetchSnapshot({settings_.forward.peers}, 1'000'000));
--- /dev/null
+++ b/tests/net/status_server_test.cc
@@ -0,0 +1,132 @@
+// Guards against a readiness check that hangs, or is answered wrongly, because
+// of what other callers of the server do.
+#include "src/net/status_server.h"
+
+#include <gtest/gtest.h>
+
+#include <asio/executor_work_guard.hpp>
+#include <asio/io_context.hpp>
+#include <asio/ip/tcp.hpp>
+#include <asio/read.hpp>
+#include <asio/write.hpp>
+#include <thread>
+#include <vector>
+
+#include "src/net/http_client.h"
+
+namespace marjoramhall::net {
+namespace {
+
+using asio::ip::tcp;
+using std::chrono::seconds;
+
+constexpr auto kPatience = seconds(20);
+
+class StatusServerTest : public testing::Test {
+ protected:
+  void SetUp() override {
+    server_ = std::make_unique<StatusServer>(
+        io_, Endpoint{IpAddress::FromV4(0x7f000001), 0},
+        std::vector<StatusRoute>{
+            {"/ready",
+             [](const QueryParameter&) {
+               return StatusPage{200, "yes\n"};
+             }},
+            {"/echo", [](const QueryParameter& query) {
+               return StatusPage{503, query("a") + "," + query("b")};
+             }}});
+    ASSERT_EQ(server_->Open(), "");
+    runner_ = std::thread([this] { io_.run(); });
+  }
+
+  void TearDown() override {
+    io_.stop();
+    runner_.join();
+  }
+
+  std::optional<HttpAnswer> Get(const std::string& target) {
+    HttpClientOptions options;
+    options.server = server_->LocalEndpoint();
+    return HttpClient(options).Get(target, kPatience);
+  }
+
+  tcp::socket Connect() {
+    tcp::socket socket(client_io_);
+    socket.connect({asio::ip::make_address_v4("127.0.0.1"),
+                    server_->LocalEndpoint().port});
+    return socket;
+  }
+
+  // All that the server sends until it closes the connection.
+  std::string Exchange(const std::string& request) {
+    tcp::socket socket = Connect();
+    std::error_code ec;
+    asio::write(socket, asio::buffer(request), ec);
+    std::string answer;
+    asio::read(socket, asio::dynamic_buffer(answer), ec);
+    return answer;
+  }
+
+  asio::io_context io_;
+  asio::executor_work_guard<asio::io_context::executor_type> work_{
+      io_.get_executor()};
+  asio::io_context client_io_;
+  std::unique_ptr<StatusServer> server_;
+  std::thread runner_;
+};
+
+TEST_F(StatusServerTest, AnswersByPathAndQuery) {
+  const auto ready = Get("/ready");
+  ASSERT_TRUE(ready);
+  EXPECT_EQ(ready->status, 200);
+  EXPECT_EQ(ready->body, "yes\n");
+  const auto echo = Get("/echo?aa=0&b=2&a=1");
+  ASSERT_TRUE(echo);
+  EXPECT_EQ(echo->status, 503);
+  EXPECT_EQ(echo->body, "1,2");
+  EXPECT_EQ(Get("/echo")->body, ",");
+  EXPECT_EQ(Get("/other")->status, 404);
+}
+
+TEST_F(StatusServerTest, RefusesWhatItDoesNotServe) {
+  EXPECT_TRUE(Exchange("POST /ready HTTP/1.1\r\nContent-Length: 0\r\n\r\n")
+                  .starts_with("HTTP/1.1 405 "));
+  EXPECT_TRUE(Exchange("no HTTP\r\n\r\n").starts_with("HTTP/1.1 400 "));
+  // Longer than the buffer: understood to be one, or refused; never served.
+  EXPECT_EQ(Exchange("GET /" + std::string(10'000, 'x') + " HTTP/1.1\r\n\r\n")
+                .find(" 200 "),
+            std::string::npos);
+  EXPECT_EQ(Get("/ready")->status, 200);
+}
+
+TEST_F(StatusServerTest, ServesOthersBesideCallersThatSendNothing) {
+  std::vector<tcp::socket> idle;
+  for (int i = 0; i < 40; ++i) {
+    idle.push_back(Connect());
+  }
+  EXPECT_EQ(Get("/ready")->status, 200);
+}
+
+TEST_F(StatusServerTest, ClosesConnectionsThatSendNothing) {
+  EXPECT_EQ(Exchange("GET /rea"), "");  // returns once the server closed
+  // More than it holds at a time: those that wait are closed, others follow.
+  for (int i = 0; i < 100; ++i) {
+    Connect();
+  }
+  const auto end = std::chrono::steady_clock::now() + kPatience;
+  std::optional<HttpAnswer> answer;
+  while (!answer && std::chrono::steady_clock::now() < end) {
+    answer = Get("/ready");
+  }
+  EXPECT_TRUE(answer);
+}
+
+TEST_F(StatusServerTest, TellsAnAddressThatIsTaken) {
+  asio::io_context io;
+  StatusServer second(io, server_->LocalEndpoint(), {});
+  EXPECT_NE(second.Open().find(server_->LocalEndpoint().ToString()),
+            std::string::npos);
+}
+
+}  // namespace
+}  // namespace marjoramhall::net
--- a/tests/platform/store_api_test.cc
+++ b/tests/platform/store_api_test.cc
@@ -6,6 +6,8 @@
 
 #include <asio/io_context.hpp>
 #include <asio/ip/tcp.hpp>
+#include <asio/read_until.hpp>
+#include <asio/write.hpp>
 #include <atomic>
 #include <chrono>
 #include <csignal>
@@ -75,6 +77,48 @@
   EXPECT_EQ(status, ReadStatus::kNoAnswer);
 }
 
+// What a listing returns when the store answers with `body`.
+discovery::StoreRead ListingOf(const std::string& body) {
+  asio::io_context io;
+  asio::ip::tcp::acceptor acceptor(io,
+                                   {asio::ip::make_address_v4("127.0.0.1"), 0});
+  std::thread server([&] {
+    asio::ip::tcp::socket socket = acceptor.accept();
+    std::string request;
+    asio::read_until(socket, asio::dynamic_buffer(request), "\r\n\r\n");
+    asio::write(socket,
+                asio::buffer("HTTP/1.1 200 OK\r\nContent-Length: " +
+                             std::to_string(body.size()) + "\r\n\r\n" + body));
+  });
+  StoreApiOptions options;
+  options.address = {kAnyPort.address, acceptor.local_endpoint().port()};
+  auto read = StoreApi(options).List("", seconds(5));
+  server.join();
+  return read;
+}
+
+TEST(StoreAnswerTest, TellsAnAnswerThatItCannotReadFromNone) {
+  for (const char* body : {"", "[]", "{}", "no JSON", R"({"items":[]})",
+                           R"({"items":{},"store_revision":4})"}) {
+    EXPECT_EQ(ListingOf(body).status, ReadStatus::kUnreadable) << body;
+  }
+}
+
+TEST(StoreAnswerTest, HandsOnItemsWithoutKeyAsFaultsAndKeepsTheOthers) {
+  const auto read = ListingOf(
+      R"({"store_revision":9,"items":[7,{"revision":3},)"
+      R"({"key":"other/x","revision":4,"value":"AA=="},)"
+      R"({"key":"servers/i-1","revision":5,"value":"*not base64*"}]})");
+  ASSERT_EQ(read.status, ReadStatus::kOk);
+  ASSERT_EQ(read.changes.size(), 4U);
+  EXPECT_NE(read.changes[0].fault, "");
+  EXPECT_NE(read.changes[1].fault, "");
+  EXPECT_EQ(read.changes[2].fault, "");
+  EXPECT_EQ(read.changes[3].key, "servers/i-1");
+  EXPECT_NE(read.changes[3].fault, "");
+  EXPECT_EQ(read.last_key, "servers/i-1");
+}
+
 TEST_F(StoreApiTest, ListsAllPages) {
   for (uint64_t i = 10; i < 30; ++i) {
     store_.PutTarget(Record(i));
