--- a/src/discovery/store_follower.cc
+++ b/src/discovery/store_follower.cc
@@ -94,7 +94,11 @@
   peers_asked_ = now;
   auto listing = reader_.ask_peers(known_);
   if (listing && listing->revision > known_) {
+    // Watched from there on, without a listing of the store: hundreds of VMs
+    // that start together ask for more pages than it gives.
     known_ = listing->revision;
+    revision_ = listing->revision;
+    pages_ = Pages{};
     hooks_.on_listing(*std::move(listing));
   }
 }
--- a/src/discovery/target_registry.cc
+++ b/src/discovery/target_registry.cc
@@ -110,7 +110,11 @@
   }
   Entry& entry = targets_[change.key];
   const TargetRecord& next = *change.target;
+  if (it != targets_.end()) {
+    RemoveFromIndexes(entry);
+  }
   entry.record = next;
+  AddToIndexes(entry);
   entry.revision = change.revision;
   entry.warm_at = now + next.cold_for;
   SetState(entry, next.draining ? TargetState::kDraining : TargetState::kActive,
@@ -121,19 +125,34 @@
   return true;
 }
 
+void TargetRegistry::AddToIndexes(Entry& entry) {
+  by_address_[entry.record.address].push_back(&entry);
+  by_token_[TokenOf(entry.record.instance)].push_back(&entry);
+}
+
+void TargetRegistry::RemoveFromIndexes(Entry& entry) {
+  const auto remove = [&entry](auto& index, const auto& key) {
+    const auto it = index.find(key);
+    std::erase(it->second, &entry);
+    if (it->second.empty()) {
+      index.erase(it);
+    }
+  };
+  remove(by_address_, entry.record.address);
+  remove(by_token_, TokenOf(entry.record.instance));
+}
+
 void TargetRegistry::RetireFormerUsers(const Entry& user, TimePoint now) {
-  for (auto& [key, entry] : targets_) {
-    if (&entry != &user && entry.record.address == user.record.address &&
-        entry.record.born_ms <= user.record.born_ms) {
-      Retire(entry, "address-reused", now);
+  for (Entry* it : by_address_.at(user.record.address)) {
+    if (it != &user && it->record.born_ms <= user.record.born_ms) {
+      Retire(*it, "address-reused", now);
     }
   }
 }
 
 void TargetRegistry::LogSharedToken(const Entry& entry) const {
-  for (const auto& [key, other] : targets_) {
-    if (&other == &entry || other.state == TargetState::kRetired ||
-        TokenOf(other.record.instance) != TokenOf(entry.record.instance)) {
+  for (const Entry* it : by_token_.at(TokenOf(entry.record.instance))) {
+    if (it == &entry || it->state == TargetState::kRetired) {
       continue;
     }
     Decision decision;
@@ -205,6 +224,7 @@
     }
     if (entry.state == TargetState::kRetired &&
         now - entry.changed_at >= options_.retention) {
+      RemoveFromIndexes(entry);
       it = targets_.erase(it);
       changed = true;
     } else {
--- a/src/discovery/target_registry.h
+++ b/src/discovery/target_registry.h
@@ -74,6 +74,9 @@
                 std::string_view reason,
                 TimePoint now);
   void Retire(Entry& entry, std::string_view reason, TimePoint now);
+  // Keep the indexes below in step with an entry's record.
+  void AddToIndexes(Entry& entry);
+  void RemoveFromIndexes(Entry& entry);
   // Two incarnations never share an address: the earlier one is gone.
   void RetireFormerUsers(const Entry& user, TimePoint now);
   void LogSharedToken(const Entry& entry) const;
@@ -87,6 +90,10 @@
   const RegistryOptions options_;
   const DecisionHook decide_;
   std::map<std::string, Entry> targets_;  // by store key
+  // All entries of targets_, so that a listing of thousands takes no time that
+  // grows with their square.
+  std::map<Endpoint, std::vector<Entry*>> by_address_;
+  std::map<forward::TargetToken, std::vector<Entry*>> by_token_;
   std::unordered_map<std::string, ServiceId> services_;
   ConfigRecord config_;
   uint64_t revision_ = 0;  // never falls
--- a/tests/discovery/target_registry_test.cc
+++ b/tests/discovery/target_registry_test.cc
@@ -126,6 +126,17 @@
   EXPECT_EQ(StateOf(8), TargetState::kActive);
 }
 
+TEST_F(TargetRegistryTest, ForgetsTheFormerAddressOfATargetThatMoved) {
+  // The user of its former address is no reason to retire it.
+  Apply(Put(Record(7, 80), 2), 2);
+  Apply(Put(Record(7, 81), 3), 3);
+  Apply(Put(Record(8, 80), 4), 4);
+  EXPECT_EQ(StateOf(7), TargetState::kActive);
+  EXPECT_EQ(StateOf(8), TargetState::kActive);
+  Apply(Put(Record(9, 81), 5), 5);
+  EXPECT_EQ(StateOf(7), TargetState::kRetired);
+}
+
 TEST_F(TargetRegistryTest, IgnoresAnOlderChangeOfAKey) {
   Apply(Put(Record(7, 80, true), 5), 5);
   Apply(Put(Record(7, 80), 4), 4);
