Call a silent store again sooner while nothing is known

Each waited for a listing that it had sent before the return, up to its limit of 1 s, and all at the same time.

Change: while a VM knows nothing, listings have 0.3 s; a third of them, at random, have 1 s, for a store that is slow.

Ruled out: every third try with 1 s in the same order on all VMs (ready 0.5 s later still: all of them waited in such a call together).

Tests: GivesMostListingsLittleTimeWhileNothingIsKnown and GivesListingsTheUsualTimeOnceSomethingIsKnown replace GivesTheFirstListingLittleTime, which asserted 1 s from the second try on.

--- a/src/discovery/store_follower.cc
+++ b/src/discovery/store_follower.cc
@@ -26,9 +26,11 @@
 }
 
 ReadStatus StoreFollower::List() {
-  const Duration limit = std::exchange(tried_, true)
-                             ? options_.list_limit
-                             : options_.first_list_limit;
+  const bool is_first = !std::exchange(tried_, true);
+  const bool is_patient =
+      known_ > 0 || (!is_first && NextRandom() % options_.patient_try == 0);
+  const Duration limit =
+      is_patient ? options_.list_limit : options_.first_list_limit;
   for (;;) {
     StoreRead page = reader_.list(pages_.after, limit);
     if (page.status != ReadStatus::kOk) {
@@ -107,11 +109,15 @@
   pause_ = std::clamp(
       pause_ * 2, options_.first_pause,
       known_ > 0 ? options_.largest_pause : options_.largest_first_pause);
+  const auto half = static_cast<uint64_t>(pause_.count() / 2);
+  return pause_ - Duration{static_cast<int64_t>(NextRandom() % (half + 1))};
+}
+
+uint64_t StoreFollower::NextRandom() {
   random_ ^= random_ << 13;
   random_ ^= random_ >> 7;
   random_ ^= random_ << 17;
-  const auto half = static_cast<uint64_t>(pause_.count() / 2);
-  return pause_ - Duration{static_cast<int64_t>((random_ >> 16) % (half + 1))};
+  return random_ >> 16;
 }
 
 }  // namespace marjoramhall::discovery
--- a/src/discovery/store_follower.h
+++ b/src/discovery/store_follower.h
@@ -56,9 +56,14 @@
   // Time limit of a listing. The store answers in 4 ms; on a slow day up to 70
   // times later.
   Duration list_limit = std::chrono::milliseconds(1000);
-  // The same for the first try of a VM that knows nothing yet: other VMs may
-  // answer sooner than a store that is out.
+  // The same while nothing is known, and so nothing can be served: other VMs
+  // may answer sooner, and a call that a store which is out took in is not
+  // answered after its return. Longer than the store takes on a slow day.
   Duration first_list_limit = std::chrono::milliseconds(300);
+  // While nothing is known one of so many tries, at random, has the usual
+  // limit, for a store that is slower still. VMs that start together differ in
+  // it, so that some of them call soon after the store's return.
+  uint32_t patient_try = 3;
   // A watch without events ends after this; a connection that went silent is
   // noticed a little later.
   Duration watch_wait = std::chrono::seconds(2);
@@ -116,6 +121,7 @@
   ReadStatus Watch();
   void OnStatus(ReadStatus status);
   Duration NextPause();
+  uint64_t NextRandom();
 
   const FollowerOptions options_;
   const StoreReader reader_;
--- a/tests/discovery/store_follower_test.cc
+++ b/tests/discovery/store_follower_test.cc
@@ -4,6 +4,7 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <deque>
 
 namespace marjoramhall::discovery {
@@ -230,11 +231,29 @@
   EXPECT_LE(asked_.size(), static_cast<size_t>(intervals) + 1);
 }
 
-TEST_F(StoreFollowerTest, GivesTheFirstListingLittleTime) {
-  Steps(2);
+TEST_F(StoreFollowerTest, GivesMostListingsLittleTimeWhileNothingIsKnown) {
+  // A VM that waits a second for each silent call serves up to a second later
+  // than the store. Some tries are for a store that is slow.
+  Steps(60);
+  const FollowerOptions options;
+  EXPECT_EQ(limits_.front(), options.first_list_limit);
+  const auto quick =
+      std::count(limits_.begin(), limits_.end(), options.first_list_limit);
+  const auto usual =
+      std::count(limits_.begin(), limits_.end(), options.list_limit);
+  EXPECT_EQ(quick + usual, 60);
+  EXPECT_GE(quick, 30);
+  EXPECT_GE(usual, 10);
+}
+
+TEST_F(StoreFollowerTest, GivesListingsTheUsualTimeOnceSomethingIsKnown) {
+  answers_ = {Ok(10), Failed(ReadStatus::kHistoryGone)};
+  Steps(5);
   const FollowerOptions options;
-  EXPECT_EQ(limits_, (std::vector<Duration>{options.first_list_limit,
-                                            options.list_limit}));
+  ASSERT_EQ(limits_.size(), 4U);
+  for (size_t i = 1; i < limits_.size(); ++i) {
+    EXPECT_EQ(limits_[i], options.list_limit);
+  }
 }
 
 }  // namespace
