Drop openings while no target is known, as before a configuration

Cause: when the store is out for long, the entries of all targets lapse, and come back within two seconds of its return. A VM that started meanwhile has a configuration and no target: it was not ready, but reset openings, which costs a client its three tries within 20 ms. It can't know that such a request can't be served.

Change: openings are dropped until any target is known; the clients' copies follow after 200 and 600 ms.

Test: DropsOpeningsBeforeAnyTargetIsKnown failed before. ResetsAnOpeningWithoutTargetAtOnce played a VM without any target; it now plays a service without one, where the others have some.

--- a/src/forward/forwarder.cc
+++ b/src/forward/forwarder.cc
@@ -49,7 +49,8 @@
                                   std::span<const uint8_t> datagram,
                                   TimePoint now) {
   ++counters_.packets;
-  if (view_ == nullptr || view_->config_version == 0) {
+  if (view_ == nullptr || view_->config_version == 0 ||
+      view_->targets.empty()) {
     return Refuse(header, Reason::kNoView, now);
   }
   return header.syn ? OnOpening(header, datagram, now)
--- a/src/forward/forwarder.h
+++ b/src/forward/forwarder.h
@@ -26,7 +26,7 @@
 // Why a packet was not forwarded, or an opening sent again.
 enum class Reason {
   kNone,
-  kNoView,        // this VM has no configuration yet
+  kNoView,        // this VM knows no configuration or no target yet
   kNoRoute,       // no route has this address
   kNoTarget,      // no target of the service takes new flows
   kOverload,      // the targets have more work than they finish in time
--- a/tests/forward/forwarder_test.cc
+++ b/tests/forward/forwarder_test.cc
@@ -101,9 +101,24 @@
   EXPECT_EQ(responses_, std::vector<Duration>{milliseconds(30)});
 }
 
-TEST_F(ForwarderTest, ResetsAnOpeningWithoutTargetAtOnce) {
+TEST_F(ForwarderTest, DropsOpeningsBeforeAnyTargetIsKnown) {
+  // The entries of all targets lapse when the store is out for long, and come
+  // back within two seconds of its return. A reset would cost clients all their
+  // tries at once.
   Show(MakeView(0));
   const PacketVerdict verdict = Open(1);
+  EXPECT_EQ(verdict.action, PacketAction::kDrop);
+  EXPECT_EQ(verdict.reason, Reason::kNoView);
+  Show(MakeView(1));
+  EXPECT_EQ(Open(1).action, PacketAction::kForward);
+}
+
+TEST_F(ForwarderTest, ResetsAnOpeningWithoutTargetAtOnce) {
+  View view = MakeView(0);
+  view.targets = {MakeTarget(1, kOtherService), MakeTarget(2)};
+  view.targets[1].state = TargetState::kDraining;
+  Show(view);
+  const PacketVerdict verdict = Open(1);
   EXPECT_EQ(verdict.action, PacketAction::kReset);
   EXPECT_EQ(verdict.reason, Reason::kNoTarget);
 }
@@ -113,6 +128,7 @@
   PacketHeader copy = Opening(1);
   copy.acknowledged = 1;
   View view = MakeView(0);
+  view.targets = {MakeTarget(1, kOtherService)};
   Show(view);
   EXPECT_EQ(forwarder_.OnPacket(copy, opening_bytes_, now_).action,
             PacketAction::kDrop);
