Choose free TCP ports for TCP in the test of the whole process

Cause: app_test under the address sanitizer, 8 copies at a time beside other work, failed 3 of 50 times: "cannot listen on 127.0.0.1:34474: Address already in use". The test chose a port that was free for UDP and listened on it with TCP.

Change: TCP ports are chosen as such, and again when another process took one in between. Test: NamesAnAddressThatIsTakenAndEnds plays a taken port; the process ends its threads and names the address.

--- a/tests/app/forward_process_test.cc
+++ b/tests/app/forward_process_test.cc
@@ -4,6 +4,8 @@
 
 #include <gtest/gtest.h>
 
+#include <asio/io_context.hpp>
+#include <asio/ip/tcp.hpp>
 #include <csignal>
 #include <filesystem>
 #include <fstream>
@@ -22,6 +24,8 @@
 namespace {
 
 constexpr auto kPatience = std::chrono::seconds(20);
+// A port is lost to another process now and then; never this often in a row.
+constexpr int kPortTries = 5;
 constexpr uint32_t kServiceAddress = 0xc6120001;
 constexpr uint16_t kServicePort = 443;
 
@@ -29,13 +33,21 @@
   return {IpAddress::FromV4(0x7f000001), 0};
 }
 
-// A port that is free for UDP and TCP alike with near certainty.
-Endpoint FreeEndpoint() {
+// A port that is free for UDP.
+Endpoint FreeUdpEndpoint() {
   net::UdpSocket socket;
   EXPECT_EQ(socket.Open(AnyLoopback()), "");
   return socket.LocalEndpoint();
 }
 
+// The same for TCP; a connection of another process may take it at any time.
+Endpoint FreeTcpEndpoint() {
+  asio::io_context io;
+  const asio::ip::tcp::acceptor acceptor(
+      io, {asio::ip::make_address_v4("127.0.0.1"), 0});
+  return {AnyLoopback().address, acceptor.local_endpoint().port()};
+}
+
 std::pair<int, std::string> Get(const Endpoint& from, const std::string& path) {
   httplib::Client client(from.address.ToString(), from.port);
   const auto answer = client.Get(path);
@@ -63,18 +75,22 @@
     store_.PutConfig(config);
 
     settings_.store.url = "http://" + store_.local_endpoint().ToString();
-    settings_.forward.listen = FreeEndpoint();
-    settings_.forward.status = FreeEndpoint();
-    settings_.forward.peers = FreeEndpoint();
-    settings_.forward.announce = FreeEndpoint();
+    settings_.forward.listen = FreeUdpEndpoint();
+    settings_.forward.announce = FreeUdpEndpoint();
     settings_.log.decisions = DecisionLogging::kNone;
     file_ = testing::TempDir() + "forward_process_test_" +
             std::to_string(settings_.forward.listen.port) + ".ini";
   }
 
   void Start() {
-    process_ = std::make_unique<ForwardProcess>(settings_, file_);
-    ASSERT_EQ(process_->Open(), "");
+    std::string error = "not opened";
+    for (int i = 0; i < kPortTries && !error.empty(); ++i) {
+      settings_.forward.status = FreeTcpEndpoint();
+      settings_.forward.peers = FreeTcpEndpoint();
+      process_ = std::make_unique<ForwardProcess>(settings_, file_);
+      error = process_->Open();
+    }
+    ASSERT_EQ(error, "");
     runner_ = std::thread([this] { exit_code_ = process_->Run(); });
   }
 
@@ -151,6 +167,20 @@
   runner_.join();
 }
 
+TEST_F(ForwardProcessTest, NamesAnAddressThatIsTakenAndEnds) {
+  // Its threads have started by then.
+  asio::io_context io;
+  const asio::ip::tcp::acceptor taken(
+      io, {asio::ip::make_address_v4("127.0.0.1"), 0});
+  settings_.forward.status = FreeTcpEndpoint();
+  settings_.forward.peers = {AnyLoopback().address,
+                             taken.local_endpoint().port()};
+  ForwardProcess process(settings_, file_);
+  EXPECT_NE(process.Open().find(settings_.forward.peers.ToString()),
+            std::string::npos);
+  exit_code_ = 0;  // nothing runs
+}
+
 TEST_F(ForwardProcessTest, BoundsTheLinesOfTargetsThatJoinTogether) {
   constexpr int kTargets = 300;
   for (int i = 1; i <= kTargets; ++i) {
