Choose all ports of the process test again when one is taken

Cause: of 96 runs of the test, 16 at a time under the address sanitizer, one failed: another copy had taken its UDP port since it was found free. Change: all addresses are chosen anew for each of five tries, as the TCP ones were.

--- a/tests/app/forward_process_test.cc
+++ b/tests/app/forward_process_test.cc
@@ -75,18 +75,22 @@
     store_.PutConfig(config);
 
     settings_.store.url = "http://" + store_.local_endpoint().ToString();
-    settings_.forward.listen = FreeUdpEndpoint();
-    settings_.forward.announce = FreeUdpEndpoint();
     settings_.log.decisions = DecisionLogging::kNone;
     file_ = testing::TempDir() + "forward_process_test_" +
-            std::to_string(settings_.forward.listen.port) + ".ini";
+            std::to_string(store_.local_endpoint().port) + ".ini";
+  }
+
+  void ChooseAddresses() {
+    settings_.forward.listen = FreeUdpEndpoint();
+    settings_.forward.announce = FreeUdpEndpoint();
+    settings_.forward.status = FreeTcpEndpoint();
+    settings_.forward.peers = FreeTcpEndpoint();
   }
 
   void Start() {
     std::string error = "not opened";
     for (int i = 0; i < kPortTries && !error.empty(); ++i) {
-      settings_.forward.status = FreeTcpEndpoint();
-      settings_.forward.peers = FreeTcpEndpoint();
+      ChooseAddresses();
       process_ = std::make_unique<ForwardProcess>(settings_, file_);
       error = process_->Open();
     }
@@ -172,7 +176,7 @@
   asio::io_context io;
   const asio::ip::tcp::acceptor taken(
       io, {asio::ip::make_address_v4("127.0.0.1"), 0});
-  settings_.forward.status = FreeTcpEndpoint();
+  ChooseAddresses();
   settings_.forward.peers = {AnyLoopback().address,
                              taken.local_endpoint().port()};
   ForwardProcess process(settings_, file_);
@@ -214,12 +218,12 @@
 TEST_F(ForwardProcessTest, TakesOverTheSeedsOfAReload) {
   // A VM that goes on telling old seeds of itself is not found by VMs that
   // start while the store is out.
+  Start();
+  ASSERT_TRUE(WaitForReadiness(200));
   net::UdpSocket seed;
   ASSERT_EQ(seed.Open({IpAddress::FromV4(0x7f000002),
                        settings_.forward.announce.port}),
             "");
-  Start();
-  ASSERT_TRUE(WaitForReadiness(200));
   EXPECT_FALSE(seed.WaitReadable(std::chrono::milliseconds(600)));
   std::ofstream(file_) << "[vm]\nname = v\nfailure_domain = a\n"
                           "[forward]\nseeds = 127.0.0.2:1\n";
