Pause before accepting again when accepting fails

Cause: found on reading: without descriptors asio's accept fails at once, and the status server accepted again at once, on the control thread. Change: it waits 100 ms. Test: ServesAgainAfterDescriptorsRanOut; it shows that service returns, not that the thread rests (no test asserts a time). Besides, two comments of the metrics name the thread that reads them.

--- a/src/app/forward_metrics.h
+++ b/src/app/forward_metrics.h
@@ -11,7 +11,7 @@
 
 namespace marjoramhall::app {
 
-// State that the control thread publishes for the metrics.
+// State of the control thread.
 struct ForwardGauges {
   std::function<double()> config_version;
   std::function<double()> view_age_seconds;
@@ -19,8 +19,7 @@
   std::function<double()> ready;
 };
 
-// Registers everything; the hooks must be callable from any thread as long as
-// the registry renders.
+// Registers everything. The hooks are called where the registry renders.
 void AddForwardMetrics(observe::MetricsRegistry& registry,
                        const std::function<net::PacketStats()>& packets,
                        const ForwardGauges& gauges);
--- a/src/net/status_server.cc
+++ b/src/net/status_server.cc
@@ -26,6 +26,8 @@
 // Callers are the routers, monitoring, and VMs that ask for a snapshot.
 constexpr size_t kLargestConnections = 64;
 constexpr size_t kRequestBytes = 4096;
+// Short beside the interval of readiness checks.
+constexpr auto kAcceptPause = std::chrono::milliseconds(100);
 
 constexpr int kStatusBadRequest = 400;
 constexpr int kStatusNotFound = 404;
@@ -60,7 +62,10 @@
   using ConnectionPtr = std::shared_ptr<Connection>;
 
   Impl(asio::io_context& io, Endpoint endpoint, std::vector<StatusRoute> given)
-      : listen(endpoint), routes(std::move(given)), acceptor(io) {}
+      : listen(endpoint),
+        routes(std::move(given)),
+        acceptor(io),
+        accept_pause(io) {}
 
   void Accept() {
     acceptor.async_accept([self = shared_from_this()](std::error_code ec,
@@ -68,14 +73,28 @@
       if (ec == asio::error::operation_aborted || !self->acceptor.is_open()) {
         return;
       }
+      if (ec) {
+        self->AcceptLater();
+        return;
+      }
       // One connection more than allowed is closed by leaving this scope.
-      if (!ec && self->connections < kLargestConnections) {
+      if (self->connections < kLargestConnections) {
         self->Serve(std::make_shared<Connection>(std::move(socket)));
       }
       self->Accept();
     });
   }
 
+  // Without descriptors accepting fails at once, again and again.
+  void AcceptLater() {
+    accept_pause.expires_after(kAcceptPause);
+    accept_pause.async_wait([self = shared_from_this()](std::error_code ec) {
+      if (!ec && self->acceptor.is_open()) {
+        self->Accept();
+      }
+    });
+  }
+
   void Serve(const ConnectionPtr& it) {
     ++connections;
     it->limit.expires_after(kConnectionLimit);
@@ -165,6 +184,7 @@
   const Endpoint listen;
   const std::vector<StatusRoute> routes;
   tcp::acceptor acceptor;
+  asio::steady_timer accept_pause;
   size_t connections = 0;
 };
 
--- a/tests/net/status_server_test.cc
+++ b/tests/net/status_server_test.cc
@@ -3,6 +3,8 @@
 #include "src/net/status_server.h"
 
 #include <gtest/gtest.h>
+#include <sys/resource.h>
+#include <unistd.h>
 
 #include <asio/executor_work_guard.hpp>
 #include <asio/io_context.hpp>
@@ -92,7 +94,7 @@
   EXPECT_TRUE(Exchange("POST /ready HTTP/1.1\r\nContent-Length: 0\r\n\r\n")
                   .starts_with("HTTP/1.1 405 "));
   EXPECT_TRUE(Exchange("no HTTP\r\n\r\n").starts_with("HTTP/1.1 400 "));
-  // Longer than the buffer: understood to be one, or refused; never served.
+  // Longer than the buffer: refused or cut, never served.
   EXPECT_EQ(Exchange("GET /" + std::string(10'000, 'x') + " HTTP/1.1\r\n\r\n")
                 .find(" 200 "),
             std::string::npos);
@@ -121,6 +123,25 @@
   EXPECT_TRUE(answer);
 }
 
+TEST_F(StatusServerTest, ServesAgainAfterDescriptorsRanOut) {
+  tcp::socket socket(client_io_, tcp::v4());
+  const int next = dup(0);  // the lowest that is free
+  ASSERT_GE(next, 0);
+  close(next);
+  rlimit usual{};
+  ASSERT_EQ(getrlimit(RLIMIT_NOFILE, &usual), 0);
+  rlimit none_left = usual;
+  none_left.rlim_cur = static_cast<rlim_t>(next);
+  ASSERT_EQ(setrlimit(RLIMIT_NOFILE, &none_left), 0);
+  socket.connect(
+      {asio::ip::make_address_v4("127.0.0.1"), server_->LocalEndpoint().port});
+  std::this_thread::sleep_for(std::chrono::milliseconds(50));
+  ASSERT_EQ(setrlimit(RLIMIT_NOFILE, &usual), 0);
+  const auto answer = Get("/ready");
+  ASSERT_TRUE(answer);
+  EXPECT_EQ(answer->status, 200);
+}
+
 TEST_F(StatusServerTest, TellsAnAddressThatIsTaken) {
   asio::io_context io;
   StatusServer second(io, server_->LocalEndpoint(), {});
