Clear the linter's findings

The type of text views declares its deleted constructor without a template; the store's thread takes its options by copy; a test reserves its vector. No change of what the program does.

--- a/src/app/store_thread.cc
+++ b/src/app/store_thread.cc
@@ -42,7 +42,7 @@
 }  // namespace
 
 StoreThread::StoreThread(StoreThreadOptions options, StoreThreadHooks hooks)
-    : options_(std::move(options)),
+    : options_(options),
       hooks_(std::move(hooks)),
       store_(ApiOptions(options_, hooks_)),
       follower_(FollowerOptionsOf(options_), Reader(), FollowerHooks()) {}
--- a/src/base/borrowed_text.h
+++ b/src/base/borrowed_text.h
@@ -3,7 +3,6 @@
 #ifndef MARJORAMHALL_BASE_BORROWED_TEXT_H_
 #define MARJORAMHALL_BASE_BORROWED_TEXT_H_
 
-#include <concepts>
 #include <string>
 #include <string_view>
 
@@ -17,8 +16,7 @@
   constexpr BorrowedText(const char* text) : std::string_view(text) {}
   constexpr BorrowedText(std::string_view text) : std::string_view(text) {}
   constexpr BorrowedText(const std::string& text) : std::string_view(text) {}
-  template <std::same_as<std::string> Text>
-  BorrowedText(Text&& text) = delete;
+  BorrowedText(std::string&& text) = delete;
 };
 
 }  // namespace marjoramhall
--- a/tests/net/status_server_test.cc
+++ b/tests/net/status_server_test.cc
@@ -102,8 +102,10 @@
 }
 
 TEST_F(StatusServerTest, ServesOthersBesideCallersThatSendNothing) {
+  constexpr int kIdle = 40;
   std::vector<tcp::socket> idle;
-  for (int i = 0; i < 40; ++i) {
+  idle.reserve(kIdle);
+  for (int i = 0; i < kIdle; ++i) {
     idle.push_back(Connect());
   }
   EXPECT_EQ(Get("/ready")->status, 200);
