Rest between watches by the tighter one of the bounds of changes and drains

Cause: a VM rests after a watch that brought changes for a third of the bound of configurations, up to 2 s, whatever the bound of drains. The two are equal on the sites at hand.

Change: the settings have both bounds, and the tighter one counts. A bound that the platform does not give is left out of the settings, and keeps its default.

Test: TakesTheTighterBoundOfConfigurationsAndDrains.

--- a/src/app/forward_process.cc
+++ b/src/app/forward_process.cc
@@ -237,7 +237,7 @@
   StoreThreadOptions options;
   options.store = *store;
   options.own_snapshot = settings_.forward.peers;
-  options.change_bound = settings_.forward.change_bound;
+  options.change_bound = settings_.forward.TightestBound();
   options.seed = RandomSeed();
   store_.emplace(options, StoreHooks());
   store_->Start();
--- a/src/settings/settings.h
+++ b/src/settings/settings.h
@@ -3,6 +3,7 @@
 #ifndef MARJORAMHALL_SETTINGS_SETTINGS_H_
 #define MARJORAMHALL_SETTINGS_SETTINGS_H_
 
+#include <algorithm>
 #include <cstdint>
 #include <filesystem>
 #include <string>
@@ -60,8 +61,13 @@
   Endpoint peers = Loopback(6084);
   std::vector<Endpoint> seeds;         // the same of other VMs
   Endpoint announce = Loopback(6085);  // announcements of other VMs, UDP
-  // Within this a change in the store has to be in force here.
+  // Within this a configuration in the store has to be in force here.
   Duration change_bound = std::chrono::seconds(3);
+  // Within this a target that leaves has to get no new flows.
+  Duration drain_bound = std::chrono::seconds(3);
+
+  // Any change of the store has to be in force within this.
+  Duration TightestBound() const { return std::min(change_bound, drain_bound); }
 };
 
 struct ControlSettings {
--- a/tests/settings/load_test.cc
+++ b/tests/settings/load_test.cc
@@ -55,6 +55,22 @@
             "is unknown\n");
 }
 
+TEST(LoadTest, TakesTheTighterBoundOfConfigurationsAndDrains) {
+  // A VM that rests between its watches by the looser one learns of a leaving
+  // target too late.
+  const auto forward = [](const std::string& keys) {
+    const LoadResult loaded = LoadText(std::string(kVm) + "[forward]\n" + keys);
+    EXPECT_TRUE(loaded.errors.empty());
+    return loaded.settings.forward;
+  };
+  using std::chrono::milliseconds;
+  EXPECT_EQ(
+      forward("change_bound = 5000ms\ndrain_bound = 900ms\n").TightestBound(),
+      milliseconds(900));
+  EXPECT_EQ(forward("change_bound = 700ms\n").TightestBound(),
+            milliseconds(700));
+}
+
 TEST(LoadTest, NamesDuplicatesAndMissingKeys) {
   const std::string errors = ErrorsOf(
       "[vm]\nname = a\nname = b\n"
