Follow the store again within the time that a silent connection excuses

Ruled out: load; the gaps in the logs are the time limits to the millisecond.

A VM that knows nothing asks at once, as before.

--- a/src/app/store_thread.cc
+++ b/src/app/store_thread.cc
@@ -16,10 +16,10 @@
 constexpr int kGatherPart = 3;
 constexpr Duration kLongestGather = std::chrono::seconds(2);
 // How long a watch waits for changes. A connection that fell silent is noticed
-// after this and the answer's time limit, which together stay below the time in
-// which the platform counts a VM with such a connection as disturbed, and the
-// bound of changes after it.
-constexpr Duration kWatchWait = std::chrono::seconds(4);
+// after this and the answer's time limit, and replaced at once; together that
+// stays below the time for which the platform counts a VM with such a
+// connection as disturbed (4 s).
+constexpr Duration kWatchWait = std::chrono::seconds(3);
 
 platform::StoreApiOptions ApiOptions(const StoreThreadOptions& options,
                                      const StoreThreadHooks& hooks) {
--- a/src/discovery/store_follower.cc
+++ b/src/discovery/store_follower.cc
@@ -55,7 +55,8 @@
 }
 
 ReadStatus StoreFollower::Watch() {
-  StoreRead read = reader_.watch(revision_, options_.watch_wait);
+  StoreRead read = reader_.watch(
+      revision_, reachable_ ? options_.watch_wait : options_.probe_wait);
   if (read.status == ReadStatus::kHistoryGone) {
     revision_ = 0;
     return ReadStatus::kOk;
@@ -74,17 +75,20 @@
 
 void StoreFollower::OnStatus(ReadStatus status) {
   const bool ok = status == ReadStatus::kOk;
-  if (ok != reachable_) {
+  const bool is_change = ok != reachable_;
+  if (is_change) {
     reachable_ = ok;
     hooks_.on_reachable(ok, status);
   }
   if (ok) {
     hooks_.on_confirmed(hooks_.now());
     pause_ = Duration{0};
-  } else {
+    return;
+  }
+  if (known_ == 0 || !is_change) {
     AskPeers();
-    hooks_.sleep(NextPause());
   }
+  hooks_.sleep(NextPause());
 }
 
 void StoreFollower::AskPeers() {
--- a/src/discovery/store_follower.h
+++ b/src/discovery/store_follower.h
@@ -67,6 +67,9 @@
   // A watch without events ends after this; a connection that went silent is
   // noticed a little later.
   Duration watch_wait = std::chrono::seconds(2);
+  // The same for a watch after a failed call: it shows at once whether the
+  // store answers, and what was missed.
+  Duration probe_wait = std::chrono::milliseconds(1);
   // Pause after a failed call: doubled up to the largest, each with a random
   // part of up to a half.
   Duration first_pause = std::chrono::milliseconds(50);
@@ -77,7 +80,8 @@
   // in quick succession share a call.
   Duration gather = std::chrono::milliseconds(20);
   // While the store cannot be reached, other VMs are asked this often once this
-  // VM knows anything, and after each failed call before that.
+  // VM knows anything, from the second failed call on, since a call on a new
+  // connection may do; and after each failed call before that.
   Duration peer_interval = std::chrono::seconds(2);
   uint64_t seed = 1;
 };
--- a/tests/discovery/store_follower_test.cc
+++ b/tests/discovery/store_follower_test.cc
@@ -45,8 +45,9 @@
       limits_.push_back(limit);
       return Next();
     };
-    reader.watch = [this](uint64_t after, Duration) {
+    reader.watch = [this](uint64_t after, Duration wait) {
       watched_after_.push_back(after);
+      waits_.push_back(wait);
       return Next();
     };
     reader.ask_peers = [this](uint64_t newer_than) {
@@ -97,6 +98,7 @@
   std::vector<std::string> listed_after_;
   std::vector<Duration> limits_;
   std::vector<uint64_t> watched_after_;
+  std::vector<Duration> waits_;  // of watches
   std::vector<uint64_t> asked_;
   std::vector<Listing> listings_;
   size_t changes_ = 0;
@@ -214,6 +216,41 @@
   EXPECT_EQ(watched_after_, std::vector<uint64_t>{9});
 }
 
+TEST_F(StoreFollowerTest, WatchesShortlyUntilTheStoreHasAnswered) {
+  // A watch that waits for changes on a dead connection, or after an outage,
+  // keeps the view old for seconds.
+  const FollowerOptions options;
+  answers_ = {Ok(10),
+              Ok(10),
+              Failed(ReadStatus::kNoAnswer),
+              Failed(ReadStatus::kNoAnswer),
+              Ok(11),
+              Ok(11)};
+  Steps(6);
+  EXPECT_EQ(waits_,
+            (std::vector<Duration>{options.watch_wait, options.watch_wait,
+                                   options.probe_wait, options.probe_wait,
+                                   options.watch_wait}));
+}
+
+TEST_F(StoreFollowerTest, WatchesShortlyAfterAPeersSnapshot) {
+  peer_ = Listing{{Named("a", 3)}, 7};
+  Steps(1);
+  answers_ = {Ok(9), Ok(9)};
+  Steps(2);
+  const FollowerOptions options;
+  EXPECT_EQ(waits_,
+            (std::vector<Duration>{options.probe_wait, options.watch_wait}));
+}
+
+TEST_F(StoreFollowerTest, CallsTheStoreAgainBeforeItAsksPeers) {
+  // Peers that are down cost up to half a second each; a new connection to the
+  // store may do.
+  answers_ = {Ok(10), Failed(ReadStatus::kNoAnswer), Ok(10)};
+  Steps(3);
+  EXPECT_TRUE(asked_.empty());
+}
+
 TEST_F(StoreFollowerTest, TakesNothingOlderFromAPeer) {
   answers_ = {Ok(10)};
   peer_ = Listing{{}, 10};
