--- a/src/app/forward_metrics.cc
+++ b/src/app/forward_metrics.cc
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include "platform/store_api.h"
+#include "src/net/relay_client.h"
 
 namespace marjoramhall::app {
 namespace {
@@ -80,11 +81,13 @@
 AddStoreMetrics(observe::MetricsRegistry& registry) {
   std::map<std::pair<std::string, discovery::ReadStatus>, observe::Counter*>
       counters;
-  for (const char* call : {platform::kListCall, platform::kWatchCall}) {
+  for (const char* call :
+       {platform::kListCall, platform::kWatchCall, net::kPollCall}) {
     for (const auto& it : discovery::kReadStatusNames) {
       counters[{call, it.value}] = &registry.AddCounter(
           "marjoramhall_store_calls_total",
-          "Calls of the platform's store by kind and outcome.",
+          "Calls of the platform's store, and polls of relays, by kind and "
+          "outcome.",
           {{"call", call}, {"outcome", std::string(it.name)}});
     }
   }
--- a/src/app/forward_process.cc
+++ b/src/app/forward_process.cc
@@ -1,7 +1,8 @@
 // Connects the parts of `marjoramhall forward`.
 //
 // The calling thread (control thread) owns the targets and the configuration,
-// handles signals, and answers requests for readiness, metrics and snapshots. A
+// handles signals, and answers requests for readiness, metrics, snapshots and
+// changes. A
 // second thread forwards packets, and a third follows the platform's store. The
 // threads exchange immutable views and decoded changes by posting them.
 #include "src/app/forward_process.h"
@@ -10,8 +11,6 @@
 #include <asio/post.hpp>
 #include <asio/signal_set.hpp>
 #include <asio/steady_timer.hpp>
-#include <atomic>
-#include <charconv>
 #include <chrono>
 #include <csignal>
 #include <mutex>
@@ -23,12 +22,13 @@
 #include "platform/packet_codec.h"
 #include "platform/readiness_path.h"
 #include "src/app/forward_metrics.h"
+#include "src/app/relay_service.h"
 #include "src/app/stop_condition.h"
 #include "src/app/store_thread.h"
-#include "src/discovery/snapshot_codec.h"
 #include "src/discovery/target_registry.h"
 #include "src/net/packet_path.h"
 #include "src/net/peer_announcer.h"
+#include "src/net/relay_client.h"
 #include "src/net/snapshot_client.h"
 #include "src/net/status_server.h"
 #include "src/observe/decision_log.h"
@@ -46,6 +46,12 @@
 // Queue of the log, in lines of about 400 bytes.
 constexpr size_t kLogQueueLines = 512;
 
+// Followers of a relay: a third of the largest fleet (760 VMs), and twice that
+// while another of the three seeds is down.
+constexpr size_t kMaxPeerConnections = 600;
+// Longer than the interval at which a follower polls.
+constexpr auto kPeerKeepAlive = std::chrono::seconds(5);
+
 constexpr char kMetricsPath[] = "/metrics";
 
 constexpr int kHttpOk = 200;
@@ -110,9 +116,11 @@
  private:
   StoreThreadHooks MakeStoreHooks();
   std::vector<Endpoint> SnapshotPeers() const;
+  std::vector<Endpoint> Seeds() const;
   void OnListing(const discovery::Listing& listing);
   void OnChanges(const std::vector<discovery::StoreChange>& changes,
                  uint64_t revision);
+  void OnConfirmed(TimePoint boot_time);
   void OnReachable(bool reachable, discovery::ReadStatus status);
   void PublishView();
   void WaitForSignal();
@@ -124,9 +132,9 @@
   DecisionHook MakeTargetHook();
   net::PacketPath::Hooks MakePathHooks();
   ForwardGauges MakeGauges();
+  RelayService::Hooks MakeRelayHooks();
   std::vector<net::StatusRoute> MakePeerRoutes();
   net::StatusResponse AnswerReadiness();
-  net::StatusResponse AnswerSnapshot(const net::QueryParameter& query);
 
   // Used on the control thread only, unless stated otherwise.
   const settings::Settings settings_;
@@ -140,6 +148,7 @@
   observe::LogRateLimiter target_log_limiter_{{}};
   discovery::TargetRegistry registry_;
   observe::MetricsRegistry metrics_;
+  RelayService relay_;
   net::PacketPath path_;
   net::StatusServer status_server_;
   net::StatusServer peer_server_;
@@ -147,11 +156,8 @@
   bool ready_ = false;
   std::optional<StopCondition> stop_condition_;  // set while stopping
   uint64_t reported_unlogged_decisions_ = 0;
-  std::string encoded_snapshot_;  // of the registry at snapshot_revision_
-  uint64_t snapshot_revision_ = 0;
-  // When the store last confirmed the view, in SteadyNow(). Set by the store
-  // thread.
-  std::atomic<Duration::rep> confirmed_at_{0};
+  // When the store last confirmed the view, in SteadyNow().
+  TimePoint confirmed_at_;
 
   mutable std::mutex mutex_;
   // From the settings that were read last; guarded by mutex_.
@@ -171,6 +177,7 @@
       log_timer_(io_),
       stop_timer_(io_),
       registry_(RegistryOptions(settings), MakeTargetHook()),
+      relay_(settings.forward.TightestBound(), MakeRelayHooks(), metrics_),
       path_(PathOptions(settings),
             platform::MakePacketCodec(),
             MakePathHooks()),
@@ -179,7 +186,10 @@
           settings.forward.status,
           {{platform::kReadyPath,
             [this](const net::QueryParameter&) { return AnswerReadiness(); }}}),
-      peer_server_(io_, settings.forward.peers, MakePeerRoutes()),
+      peer_server_(io_,
+                   settings.forward.peers,
+                   MakePeerRoutes(),
+                   {kMaxPeerConnections, kPeerKeepAlive}),
       announcer_(io_,
                  PeerAnnouncerOptions(settings),
                  [this] { return registry_.revision(); }),
@@ -191,13 +201,29 @@
 std::vector<net::StatusRoute> ForwardProcess::Impl::MakePeerRoutes() {
   return {{net::kSnapshotPath,
            [this](const net::QueryParameter& query) {
-             return AnswerSnapshot(query);
+             return relay_.AnswerSnapshot(query);
+           }},
+          {net::kChangesPath,
+           [this](const net::QueryParameter& query) {
+             return relay_.AnswerPoll(query);
            }},
           {kMetricsPath, [this](const net::QueryParameter&) {
              return net::StatusResponse{kHttpOk, metrics_.Render()};
            }}};
 }
 
+RelayService::Hooks ForwardProcess::Impl::MakeRelayHooks() {
+  return {[this] { return registry_.Snapshot(); },
+          [this] {
+            discovery::ChangeRelay::State state;
+            state.stopping = stop_condition_.has_value();
+            state.has_view = registry_.config_version() > 0;
+            state.peers = announcer_.CountRecentPeers(SteadyNow());
+            return state;
+          },
+          log_.Hook()};
+}
+
 // Limits the lines about targets, because all targets change at once when a VM
 // starts or a service is released.
 DecisionHook ForwardProcess::Impl::MakeTargetHook() {
@@ -223,9 +249,8 @@
 ForwardGauges ForwardProcess::Impl::MakeGauges() {
   return {[this] { return static_cast<double>(registry_.config_version()); },
           [this] {
-            const Duration age =
-                SteadyNow().time_since_epoch() - Duration(confirmed_at_.load());
-            return std::chrono::duration<double>(age).count();
+            return std::chrono::duration<double>(SteadyNow() - confirmed_at_)
+                .count();
           },
           [this] { return static_cast<double>(registry_.target_count()); },
           [this] { return ready_ && !stop_condition_ ? 1.0 : 0.0; }};
@@ -266,39 +291,61 @@
       OnChanges(changes, revision);
     });
   };
-  hooks.on_confirmed = [this](TimePoint at) {
-    confirmed_at_ = at.time_since_epoch().count();
-    path_.PostViewConfirmed(at);
+  hooks.on_confirmed = [this](TimePoint boot_time) {
+    // Posted, so that the entries that were confirmed arrive first.
+    asio::post(io_, [this, boot_time] { OnConfirmed(boot_time); });
   };
   hooks.on_reachable = [this](bool reachable, discovery::ReadStatus status) {
     asio::post(io_,
                [this, reachable, status] { OnReachable(reachable, status); });
   };
+  hooks.on_source = [this](discovery::ViewSource source, const Endpoint& relay,
+                           std::optional<Duration> age) {
+    asio::post(io_, [this, source, relay, age] {
+      relay_.LogSource(source, relay, age);
+    });
+  };
   hooks.on_call = AddStoreMetrics(metrics_);
   hooks.peers = [this] { return SnapshotPeers(); };
+  hooks.relays = [this] { return Seeds(); };
+  hooks.is_relay = [this] { return relay_.IsPolled(); };
   return hooks;
 }
 
+std::vector<Endpoint> ForwardProcess::Impl::Seeds() const {
+  const std::lock_guard lock(mutex_);
+  return seeds_;
+}
+
 std::vector<Endpoint> ForwardProcess::Impl::SnapshotPeers() const {
   std::vector<Endpoint> peers = announcer_.RecentPeers();
-  const std::lock_guard lock(mutex_);
-  peers.insert(peers.end(), seeds_.begin(), seeds_.end());
+  const std::vector<Endpoint> seeds = Seeds();
+  peers.insert(peers.end(), seeds.begin(), seeds.end());
   return peers;
 }
 
 void ForwardProcess::Impl::OnListing(const discovery::Listing& listing) {
   registry_.ApplyListing(listing, SteadyNow());
+  relay_.OnListing(registry_.revision());
   PublishView();
 }
 
 void ForwardProcess::Impl::OnChanges(
     const std::vector<discovery::StoreChange>& changes,
     uint64_t revision) {
+  relay_.OnChanges(changes, revision);
   if (registry_.ApplyChanges(changes, revision, SteadyNow())) {
     PublishView();
   }
 }
 
+void ForwardProcess::Impl::OnConfirmed(TimePoint boot_time) {
+  relay_.OnConfirmed(boot_time);
+  const TimePoint at = SteadyNow() - (BootTimeNow() - boot_time);
+  confirmed_at_ = at;
+  path_.PostViewConfirmed(at);
+}
+
 void ForwardProcess::Impl::OnReachable(bool reachable,
                                        discovery::ReadStatus status) {
   Decision decision;
@@ -327,24 +374,6 @@
              : net::StatusResponse{kHttpUnavailable, "not ready\n"};
 }
 
-net::StatusResponse ForwardProcess::Impl::AnswerSnapshot(
-    const net::QueryParameter& query) {
-  const std::string text = query(net::kNewerThanParameter);
-  uint64_t newer_than = 0;
-  std::from_chars(text.data(), text.data() + text.size(), newer_than);
-  if (registry_.config_version() == 0) {
-    return {kHttpUnavailable, ""};
-  }
-  if (registry_.revision() <= newer_than) {
-    return {kHttpOk, ""};
-  }
-  if (snapshot_revision_ != registry_.revision()) {
-    encoded_snapshot_ = discovery::EncodeSnapshot(registry_.Snapshot());
-    snapshot_revision_ = registry_.revision();
-  }
-  return {kHttpOk, encoded_snapshot_};
-}
-
 int ForwardProcess::Impl::Run() {
   WaitForSignal();
   Tick();
--- /dev/null
+++ b/src/app/relay_service.cc
@@ -0,0 +1,128 @@
+// HTTP answers, log lines and metrics of a relay.
+#include "src/app/relay_service.h"
+
+#include <charconv>
+#include <string>
+#include <utility>
+
+#include "src/net/relay_client.h"
+#include "src/net/snapshot_client.h"
+
+namespace marjoramhall::app {
+namespace {
+
+constexpr int kHttpOk = 200;
+constexpr int kHttpUnavailable = 503;
+
+discovery::ChangeRelayOptions RelayOptionsFor(Duration bound) {
+  discovery::ChangeRelayOptions options;
+  options.max_age = discovery::RelayTimingFor(bound).max_age;
+  return options;
+}
+
+// Returns 0 for a text that is no number.
+uint64_t ParseRevision(const std::string& text) {
+  uint64_t revision = 0;
+  std::from_chars(text.data(), text.data() + text.size(), revision);
+  return revision;
+}
+
+std::string MillisecondsText(Duration span) {
+  return std::to_string(
+             std::chrono::duration_cast<std::chrono::milliseconds>(span)
+                 .count()) +
+         " ms";
+}
+
+}  // namespace
+
+RelayService::RelayService(Duration bound,
+                           Hooks hooks,
+                           observe::MetricsRegistry& metrics)
+    : hooks_(std::move(hooks)),
+      relay_(RelayOptionsFor(bound), hooks_.snapshot) {
+  for (const auto& it : discovery::kRelayRefusalNames) {
+    answers_[it.value] = &metrics.AddCounter(
+        "marjoramhall_relay_answers_total",
+        "Answers to other VMs that polled for changes, by refusal.",
+        {{"refusal", std::string(it.name)}});
+  }
+}
+
+net::StatusResponse RelayService::AnswerPoll(const net::QueryParameter& query) {
+  const TimePoint now = BootTimeNow();
+  discovery::ChangeRelay::State state = hooks_.state();
+  state.confirmed_at = confirmed_at_;
+  const auto answer =
+      relay_.Poll(ParseRevision(query(net::kAfterParameter)), state, now);
+  if (relay_.IsPolled(now)) {
+    polled_until_ =
+        (now + relay_.options().idle_after).time_since_epoch().count();
+  }
+  answers_.at(answer.refusal)->Add();
+  LogRefusalChange(answer.refusal, state.peers, now - confirmed_at_);
+  if (!answer.set) {
+    return {kHttpUnavailable, ""};
+  }
+  return {kHttpOk, discovery::EncodeChangeSet(*answer.set)};
+}
+
+net::StatusResponse RelayService::AnswerSnapshot(
+    const net::QueryParameter& query) {
+  const uint64_t newer_than = ParseRevision(query(net::kNewerThanParameter));
+  if (!hooks_.state().has_view) {
+    return {kHttpUnavailable, ""};
+  }
+  if (relay_.revision() <= newer_than) {
+    return {kHttpOk, ""};
+  }
+  if (snapshot_revision_ != relay_.revision()) {
+    encoded_snapshot_ = discovery::EncodeSnapshot(hooks_.snapshot());
+    snapshot_revision_ = relay_.revision();
+  }
+  return {kHttpOk, encoded_snapshot_};
+}
+
+void RelayService::LogRefusalChange(discovery::RelayRefusal refusal,
+                                    size_t peers,
+                                    Duration age) {
+  if (refusal == last_refusal_) {
+    return;
+  }
+  last_refusal_ = refusal;
+  const std::string detail = std::to_string(peers) +
+                             " other VMs, view confirmed " +
+                             MillisecondsText(age) + " ago";
+  Decision decision;
+  decision.kind = DecisionKind::kMembership;
+  decision.revision = relay_.revision();
+  decision.outcome = refusal == discovery::RelayRefusal::kNone
+                         ? "relay-serving"
+                         : "relay-refusing";
+  decision.reason = NameOf(refusal);
+  decision.detail = detail;
+  hooks_.log_decision(decision);
+}
+
+void RelayService::LogSource(discovery::ViewSource source,
+                             const Endpoint& relay,
+                             std::optional<Duration> age) const {
+  std::string detail = relay.ToString();
+  if (age) {
+    detail += ", view confirmed " + MillisecondsText(*age) + " ago";
+  }
+  Decision decision;
+  decision.kind = DecisionKind::kMembership;
+  decision.revision = relay_.revision();
+  decision.outcome =
+      source == discovery::ViewSource::kRelay ? "relay-followed" : "relay-lost";
+  decision.reason = age ? "answered" : "refused-or-silent";
+  decision.detail = detail;
+  hooks_.log_decision(decision);
+}
+
+bool RelayService::IsPolled() const {
+  return BootTimeNow().time_since_epoch().count() < polled_until_;
+}
+
+}  // namespace marjoramhall::app
--- /dev/null
+++ b/src/app/relay_service.h
@@ -0,0 +1,76 @@
+// Serves what this VM knows to other VMs over HTTP: changes of the store to
+// those that follow it (ChangeRelay), and snapshots to those that cannot reach
+// the store. Used on the control thread, except where stated.
+#ifndef MARJORAMHALL_APP_RELAY_SERVICE_H_
+#define MARJORAMHALL_APP_RELAY_SERVICE_H_
+
+#include <atomic>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "src/base/decision.h"
+#include "src/base/endpoint.h"
+#include "src/base/time.h"
+#include "src/discovery/change_relay.h"
+#include "src/discovery/store_follower.h"
+#include "src/net/status_server.h"
+#include "src/observe/metrics.h"
+
+namespace marjoramhall::app {
+
+class RelayService {
+ public:
+  struct Hooks {
+    std::function<discovery::Listing()> snapshot;
+    // The parts of the relay's state that others keep. `confirmed_at` is
+    // unused.
+    std::function<discovery::ChangeRelay::State()> state;
+    DecisionHook log_decision;
+  };
+
+  // `bound`: the time within which a change must take effect.
+  RelayService(Duration bound, Hooks hooks, observe::MetricsRegistry& metrics);
+
+  void OnListing(uint64_t revision) { relay_.OnListing(revision); }
+  void OnChanges(const std::vector<discovery::StoreChange>& changes,
+                 uint64_t revision) {
+    relay_.OnChanges(changes, revision, BootTimeNow());
+  }
+  // Must be called after the changes that were confirmed have been passed in.
+  void OnConfirmed(TimePoint boot_time) { confirmed_at_ = boot_time; }
+
+  net::StatusResponse AnswerPoll(const net::QueryParameter& query);
+  net::StatusResponse AnswerSnapshot(const net::QueryParameter& query);
+
+  // The view of this VM comes from the store or from a relay from now on. `age`
+  // is that of the relay's view if the relay answered.
+  void LogSource(discovery::ViewSource source,
+                 const Endpoint& relay,
+                 std::optional<Duration> age) const;
+
+  // Whether other VMs depend on this one. Thread-safe.
+  bool IsPolled() const;
+
+ private:
+  void LogRefusalChange(discovery::RelayRefusal refusal,
+                        size_t peers,
+                        Duration age);
+
+  const Hooks hooks_;
+  discovery::ChangeRelay relay_;
+  std::map<discovery::RelayRefusal, observe::Counter*> answers_;
+  TimePoint confirmed_at_;
+  discovery::RelayRefusal last_refusal_ = discovery::RelayRefusal::kFewPeers;
+  // Until when other VMs depend on this one, in BootTimeNow().
+  std::atomic<Duration::rep> polled_until_{0};
+  std::string encoded_snapshot_;  // at snapshot_revision_
+  uint64_t snapshot_revision_ = 0;
+};
+
+}  // namespace marjoramhall::app
+
+#endif  // MARJORAMHALL_APP_RELAY_SERVICE_H_
--- a/src/app/store_thread.cc
+++ b/src/app/store_thread.cc
@@ -1,10 +1,12 @@
-// Connects the follower to the store client and to the snapshots of other VMs.
+// Connects the follower to the store client, to relays and to the snapshots of
+// other VMs.
 #include "src/app/store_thread.h"
 
 #include <algorithm>
 #include <chrono>
 #include <utility>
 
+#include "src/discovery/change_relay.h"
 #include "src/discovery/snapshot_codec.h"
 #include "src/net/snapshot_client.h"
 
@@ -35,6 +37,11 @@
   follower.watch_wait = kWatchTimeout;
   follower.batching_delay =
       std::min(options.change_bound / kBatchingDelayDivisor, kMaxBatchingDelay);
+  const auto timing = discovery::RelayTimingFor(options.change_bound);
+  follower.relay_poll_interval = timing.poll_interval;
+  follower.max_relay_age = timing.max_age;
+  follower.relay_watch_wait = timing.watch_wait;
+  follower.relay_batching_delay = timing.batching_delay;
   follower.seed = options.seed;
   return follower;
 }
@@ -68,17 +75,54 @@
   reader.query_peers = [this](uint64_t newer_than) {
     return QueryPeers(newer_than);
   };
+  reader.relay_count = [this] { return Relays().size(); };
+  reader.poll_relay = [this](size_t choice, uint64_t after) {
+    return PollRelay(choice, after);
+  };
   return reader;
 }
 
 discovery::StoreFollower::Hooks StoreThread::FollowerHooks() {
-  return {hooks_.on_listing,
-          hooks_.on_changes,
-          hooks_.on_confirmed,
-          hooks_.on_reachable,
-          [this](Duration span) { Sleep(span); },
-          SteadyNow,
-          [this] { return stopping_.load(); }};
+  discovery::StoreFollower::Hooks hooks;
+  hooks.on_listing = hooks_.on_listing;
+  hooks.on_changes = hooks_.on_changes;
+  hooks.on_confirmed = hooks_.on_confirmed;
+  hooks.on_reachable = hooks_.on_reachable;
+  hooks.on_source = [this](discovery::ViewSource source, size_t choice,
+                           std::optional<Duration> age) {
+    const std::vector<Endpoint> relays = Relays();
+    hooks_.on_source(
+        source, relays.empty() ? Endpoint{} : relays[choice % relays.size()],
+        age);
+  };
+  hooks.is_relay = hooks_.is_relay;
+  hooks.sleep = [this](Duration span) { Sleep(span); };
+  hooks.now = BootTimeNow;
+  hooks.stopping = [this] { return stopping_.load(); };
+  return hooks;
+}
+
+std::vector<Endpoint> StoreThread::Relays() const {
+  std::vector<Endpoint> relays = hooks_.relays();
+  std::erase(relays, options_.own_snapshot);
+  return relays;
+}
+
+std::optional<discovery::ChangeSet> StoreThread::PollRelay(size_t choice,
+                                                           uint64_t after) {
+  const std::vector<Endpoint> relays = Relays();
+  if (relays.empty()) {
+    return std::nullopt;
+  }
+  const auto bytes = relay_client_.Poll(relays[choice % relays.size()], after);
+  auto set = bytes ? discovery::DecodeChangeSet(*bytes) : std::nullopt;
+  auto status = discovery::ReadStatus::kOk;
+  if (!set) {
+    status = bytes ? discovery::ReadStatus::kUnreadable
+                   : discovery::ReadStatus::kNoAnswer;
+  }
+  hooks_.on_call(net::kPollCall, status);
+  return set;
 }
 
 std::optional<discovery::Listing> StoreThread::QueryPeers(uint64_t newer_than) {
--- a/src/app/store_thread.h
+++ b/src/app/store_thread.h
@@ -1,5 +1,5 @@
-// Runs a thread that follows the platform's store. While the store cannot be
-// reached, the thread asks other VMs for their snapshots.
+// Runs a thread that follows the platform's store, directly or through a relay.
+// While neither can be reached, the thread asks other VMs for their snapshots.
 #ifndef MARJORAMHALL_APP_STORE_THREAD_H_
 #define MARJORAMHALL_APP_STORE_THREAD_H_
 
@@ -15,12 +15,14 @@
 #include "src/base/endpoint.h"
 #include "src/base/time.h"
 #include "src/discovery/store_follower.h"
+#include "src/net/relay_client.h"
 
 namespace marjoramhall::app {
 
 struct StoreThreadOptions {
   Endpoint store;
-  Endpoint own_snapshot;  // excluded from the peers that are asked
+  // Of this VM; excluded from the peers and relays that are asked.
+  Endpoint own_snapshot;
   Duration change_bound;  // time within which a change must take effect
   uint64_t seed = 1;
 };
@@ -30,13 +32,23 @@
   std::function<void(discovery::Listing)> on_listing;
   std::function<void(std::vector<discovery::StoreChange>, uint64_t revision)>
       on_changes;
-  std::function<void(TimePoint)> on_confirmed;
+  std::function<void(TimePoint boot_time)> on_confirmed;
   std::function<void(bool reachable, discovery::ReadStatus)> on_reachable;
-  // Called when a call to the store has ended.
+  // The view comes from the store or from a relay from now on. `age` is that of
+  // the relay's view if the relay answered.
+  std::function<void(discovery::ViewSource,
+                     const Endpoint& relay,
+                     std::optional<Duration> age)>
+      on_source;
+  // Called when a call to the store or a poll of a relay has ended.
   std::function<void(std::string_view call, discovery::ReadStatus)> on_call;
   // Returns the snapshot addresses of other VMs, those most likely to answer
   // first.
   std::function<std::vector<Endpoint>()> peers;
+  // Returns the addresses of the VMs that may relay changes.
+  std::function<std::vector<Endpoint>()> relays;
+  // Returns whether other VMs follow this one.
+  std::function<bool()> is_relay;
 };
 
 class StoreThread {
@@ -58,11 +70,15 @@
   discovery::StoreReader Reader();
   discovery::StoreFollower::Hooks FollowerHooks();
   std::optional<discovery::Listing> QueryPeers(uint64_t newer_than);
+  // The VMs that may relay changes to this one.
+  std::vector<Endpoint> Relays() const;
+  std::optional<discovery::ChangeSet> PollRelay(size_t choice, uint64_t after);
   void Sleep(Duration span);
 
   const StoreThreadOptions options_;
   const StoreThreadHooks hooks_;
   platform::StoreApi store_;
+  net::RelayClient relay_client_;
   discovery::StoreFollower follower_;
   std::atomic<bool> stopping_{false};
   std::mutex mutex_;
--- /dev/null
+++ b/src/discovery/change_relay.h
@@ -0,0 +1,125 @@
+// Passes the changes of the store on to other VMs, so that the number of store
+// calls does not grow with the number of VMs. Every VM can be a relay; the
+// seeds are asked (docs/platform.md, section 4). Does no I/O and gets the time
+// as an argument.
+#ifndef MARJORAMHALL_DISCOVERY_CHANGE_RELAY_H_
+#define MARJORAMHALL_DISCOVERY_CHANGE_RELAY_H_
+
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <optional>
+#include <vector>
+
+#include "src/base/enum_names.h"
+#include "src/base/time.h"
+#include "src/discovery/records.h"
+#include "src/discovery/snapshot_codec.h"
+
+namespace marjoramhall::discovery {
+
+// Times of relays and their followers. A follower's view lags behind the store
+// by `max_age` when a relay fails, and by the poll interval, the time limit of
+// a poll and a call of the store until it has turned to the store. The sum must
+// stay below the time within which a change must take effect.
+struct RelayTiming {
+  Duration poll_interval;   // of a follower
+  Duration max_age;         // of a relay's view
+  Duration watch_wait;      // of a relay at the store
+  Duration batching_delay;  // of a relay after changes
+};
+
+// `bound`: the time within which a change must take effect.
+constexpr RelayTiming RelayTimingFor(Duration bound) {
+  return {bound / 6, bound / 3, bound / 6, bound / 12};
+}
+
+struct ChangeRelayOptions {
+  // A relay whose view the store has not confirmed for this time refuses, so
+  // that the VM that asks turns to another relay or to the store.
+  Duration max_age = std::chrono::seconds(1);
+  // With fewer other VMs than this, each of them watches the store itself: the
+  // calls saved would not be worth a view that depends on another VM.
+  size_t min_peers = 12;
+  // Changes that are kept for VMs that lag behind. A VM that lags further gets
+  // all entries.
+  size_t max_history = 1024;
+  // Time since the last poll after which no VM depends on this relay.
+  Duration idle_after = std::chrono::seconds(3);
+};
+
+enum class RelayRefusal {
+  kNone,
+  kStopping,     // this VM is about to exit
+  kNoView,       // nothing is known yet
+  kFewPeers,     // the fleet is too small for relays
+  kUnconfirmed,  // the store has not confirmed the view for too long
+};
+inline constexpr EnumName<RelayRefusal> kRelayRefusalNames[] = {
+    {RelayRefusal::kNone, "none"},
+    {RelayRefusal::kStopping, "stopping"},
+    {RelayRefusal::kNoView, "no-view"},
+    {RelayRefusal::kFewPeers, "few-peers"},
+    {RelayRefusal::kUnconfirmed, "unconfirmed"},
+};
+constexpr std::span<const EnumName<RelayRefusal>> NamesOf(RelayRefusal) {
+  return kRelayRefusalNames;
+}
+
+class ChangeRelay {
+ public:
+  // What the relay's VM knows when it is polled.
+  struct State {
+    bool stopping = false;
+    bool has_view = false;
+    size_t peers = 0;        // other VMs that announced themselves recently
+    TimePoint confirmed_at;  // when the store last confirmed the view
+  };
+  // `refusal` is kNone if and only if `set` has a value.
+  struct Answer {
+    RelayRefusal refusal = RelayRefusal::kNone;
+    std::optional<ChangeSet> set;
+  };
+
+  // `snapshot` returns all entries at the revision of the last change.
+  ChangeRelay(ChangeRelayOptions options, std::function<Listing()> snapshot);
+
+  // All times are of a clock that also advances while the VM is suspended: a
+  // view must not look fresh because its VM did not run.
+
+  // All entries were replaced by those at a revision.
+  void OnListing(uint64_t revision);
+  void OnChanges(const std::vector<StoreChange>& changes,
+                 uint64_t revision,
+                 TimePoint now);
+
+  // Returns what a VM with all changes up to `after` lacks.
+  // Cost: linear in the number of changes kept, or of entries.
+  Answer Poll(uint64_t after, const State& state, TimePoint now);
+
+  // Whether other VMs depend on this one. The relay then confirms its view with
+  // the store more often.
+  bool IsPolled(TimePoint now) const;
+
+  // All changes up to this revision have been passed in.
+  uint64_t revision() const { return revision_; }
+  const ChangeRelayOptions& options() const { return options_; }
+
+ private:
+  struct HistoryEntry {
+    StoreChange change;
+    TimePoint received_at;
+  };
+
+  const ChangeRelayOptions options_;
+  const std::function<Listing()> snapshot_;
+  // All changes after floor_ and up to revision_, ordered by revision.
+  std::deque<HistoryEntry> history_;
+  uint64_t floor_ = 0;
+  uint64_t revision_ = 0;                  // never decreases
+  std::optional<TimePoint> last_poll_at_;  // by a VM of a fleet with relays
+};
+
+}  // namespace marjoramhall::discovery
+
+#endif  // MARJORAMHALL_DISCOVERY_CHANGE_RELAY_H_
--- a/src/discovery/snapshot_codec.cc
+++ b/src/discovery/snapshot_codec.cc
@@ -1,6 +1,7 @@
 // Conversion between records and the protobuf messages of a snapshot.
 #include "src/discovery/snapshot_codec.h"
 
+#include <algorithm>
 #include <limits>
 #include <utility>
 
@@ -32,6 +33,8 @@
   out->set_failure_domain(target.failure_domain);
   out->set_slots(target.slots);
   out->set_draining(target.draining);
+  out->set_warm_up_left_us(
+      static_cast<uint64_t>(std::max<int64_t>(0, target.warm_up_left.count())));
 }
 
 void Encode(const ConfigRecord& config, protocol::Snapshot* out) {
@@ -70,6 +73,8 @@
   record.failure_domain = target.failure_domain();
   record.slots = target.slots();
   record.draining = target.draining();
+  record.warm_up_left =
+      Duration{static_cast<int64_t>(target.warm_up_left_us())};
   item.target = std::move(record);
   return item;
 }
@@ -99,39 +104,101 @@
   return config;
 }
 
+void Encode(const std::vector<StoreChange>& items, protocol::Snapshot* out) {
+  for (const StoreChange& it : items) {
+    if (it.target) {
+      Encode(it, out->add_targets());
+    } else if (it.config) {
+      Encode(*it.config, out);
+    }
+  }
+}
+
+// Appends the configuration, if there is one, and the targets.
+void Decode(const protocol::Snapshot& message,
+            std::vector<StoreChange>* items) {
+  if (message.config_version() > 0) {
+    StoreChange config;
+    config.config = DecodeConfig(message);
+    items->push_back(std::move(config));
+  }
+  for (const protocol::TargetState& it : message.targets()) {
+    if (IsPort(it.port())) {
+      items->push_back(Decode(it));
+    }
+  }
+}
+
+template <typename Message>
+bool Parse(std::string_view bytes, Message* message) {
+  return bytes.size() <= size_t{std::numeric_limits<int>::max()} &&
+         message->ParseFromArray(bytes.data(), static_cast<int>(bytes.size()));
+}
+
 }  // namespace
 
 std::string EncodeSnapshot(const Listing& listing) {
   protocol::Snapshot message;
   message.set_revision(listing.revision);
-  for (const StoreChange& it : listing.items) {
-    if (it.target) {
-      Encode(it, message.add_targets());
-    } else if (it.config) {
-      Encode(*it.config, &message);
-    }
-  }
+  Encode(listing.items, &message);
   return message.SerializeAsString();
 }
 
 std::optional<Listing> DecodeSnapshot(std::string_view bytes) {
   protocol::Snapshot message;
-  if (bytes.size() > size_t{std::numeric_limits<int>::max()} ||
-      !message.ParseFromArray(bytes.data(), static_cast<int>(bytes.size())) ||
-      message.revision() == 0 || message.config_version() == 0) {
+  if (!Parse(bytes, &message) || message.revision() == 0 ||
+      message.config_version() == 0) {
     return std::nullopt;
   }
   Listing listing;
   listing.revision = message.revision();
-  StoreChange config;
-  config.config = DecodeConfig(message);
-  listing.items.push_back(std::move(config));
-  for (const protocol::TargetState& it : message.targets()) {
-    if (IsPort(it.port())) {
-      listing.items.push_back(Decode(it));
+  Decode(message, &listing.items);
+  return listing;
+}
+
+std::string EncodeChangeSet(const ChangeSet& set) {
+  protocol::ChangeSet message;
+  message.set_revision(set.revision);
+  message.set_age_us(static_cast<uint64_t>(set.age.count()));
+  message.set_complete(set.complete);
+  Encode(set.changes, message.mutable_changes());
+  for (const StoreChange& it : set.changes) {
+    if (it.is_target && !it.target) {
+      protocol::TargetRemoval* removal = message.add_removals();
+      removal->set_key(it.key);
+      removal->set_revision(it.revision);
+      removal->set_unreadable(!it.removed);
     }
   }
-  return listing;
+  return message.SerializeAsString();
+}
+
+std::optional<ChangeSet> DecodeChangeSet(std::string_view bytes) {
+  protocol::ChangeSet message;
+  if (!Parse(bytes, &message) || message.revision() == 0 ||
+      (message.complete() && message.changes().config_version() == 0)) {
+    return std::nullopt;
+  }
+  ChangeSet set;
+  set.revision = message.revision();
+  set.age = Duration{static_cast<int64_t>(
+      std::min(message.age_us(),
+               static_cast<uint64_t>(std::numeric_limits<int64_t>::max())))};
+  set.complete = message.complete();
+  Decode(message.changes(), &set.changes);
+  for (const protocol::TargetRemoval& it : message.removals()) {
+    StoreChange removal;
+    removal.key = it.key();
+    removal.revision = it.revision();
+    removal.is_target = true;
+    removal.removed = !it.unreadable();
+    set.changes.push_back(std::move(removal));
+  }
+  std::stable_sort(set.changes.begin(), set.changes.end(),
+                   [](const StoreChange& a, const StoreChange& b) {
+                     return a.revision < b.revision;
+                   });
+  return set;
 }
 
 }  // namespace marjoramhall::discovery
--- a/src/discovery/snapshot_codec.h
+++ b/src/discovery/snapshot_codec.h
@@ -1,4 +1,4 @@
-// Serialization of the known targets and routes, for other VMs.
+// Serialization of the known targets and routes, and of changes, for other VMs.
 #ifndef MARJORAMHALL_DISCOVERY_SNAPSHOT_CODEC_H_
 #define MARJORAMHALL_DISCOVERY_SNAPSHOT_CODEC_H_
 
@@ -18,11 +18,27 @@
   uint64_t revision = 0;
 };
 
+// What a relay knows beyond the revision of the VM that asks.
+struct ChangeSet {
+  // Ordered by revision. If `complete`, these are all entries.
+  std::vector<StoreChange> changes;
+  uint64_t revision = 0;  // contains all changes up to this one
+  // Time since the store confirmed that nothing had changed after `revision`.
+  Duration age{0};
+  bool complete = false;
+};
+
 std::string EncodeSnapshot(const Listing& listing);
 
 // Returns nothing if the bytes are not a snapshot with a configuration.
 std::optional<Listing> DecodeSnapshot(std::string_view bytes);
 
+std::string EncodeChangeSet(const ChangeSet& set);
+
+// Returns nothing if the bytes are not a change set, or if a complete one has
+// no configuration.
+std::optional<ChangeSet> DecodeChangeSet(std::string_view bytes);
+
 }  // namespace marjoramhall::discovery
 
 #endif  // MARJORAMHALL_DISCOVERY_SNAPSHOT_CODEC_H_
--- a/src/discovery/store_follower.cc
+++ b/src/discovery/store_follower.cc
@@ -1,4 +1,4 @@
-// List and watch loop.
+// List, watch and poll loop.
 #include "src/discovery/store_follower.h"
 
 #include <algorithm>
@@ -13,6 +13,8 @@
     : options_(options),
       reader_(std::move(reader)),
       hooks_(std::move(hooks)),
+      // Spreads the fleet over the relays.
+      relay_choice_(options.seed),
       random_state_(options.seed | 1) {}
 
 void StoreFollower::Run() {
@@ -22,6 +24,9 @@
 }
 
 void StoreFollower::Step() {
+  if (MayPollRelay() && PollRelay()) {
+    return;
+  }
   OnStatus(watch_revision_ == 0 ? List() : Watch());
 }
 
@@ -33,6 +38,9 @@
   const Duration timeout =
       use_long_timeout ? options_.list_timeout : options_.initial_list_timeout;
   for (;;) {
+    if (partial_.first_revision == 0) {
+      partial_.started_at = hooks_.now();
+    }
     StoreRead page = reader_.list(partial_.after, timeout);
     if (page.status != ReadStatus::kOk) {
       return page.status;
@@ -53,12 +61,18 @@
   watch_revision_ = complete.first_revision;
   newest_revision_ = std::max(newest_revision_, watch_revision_);
   hooks_.on_listing({std::move(complete.items), watch_revision_});
+  hooks_.on_confirmed(complete.started_at);
   return ReadStatus::kOk;
 }
 
 ReadStatus StoreFollower::Watch() {
-  StoreRead read = reader_.watch(
-      watch_revision_, reachable_ ? options_.watch_wait : options_.probe_wait);
+  const bool is_relay = IsRelay();
+  Duration wait = options_.probe_wait;
+  if (is_store_current_) {
+    wait = is_relay ? options_.relay_watch_wait : options_.watch_wait;
+  }
+  const TimePoint started_at = hooks_.now();
+  StoreRead read = reader_.watch(watch_revision_, wait);
   if (read.status == ReadStatus::kHistoryGone) {
     watch_revision_ = 0;
     return ReadStatus::kOk;
@@ -68,9 +82,17 @@
   }
   watch_revision_ = std::max(watch_revision_, read.revision);
   newest_revision_ = std::max(newest_revision_, watch_revision_);
-  if (!read.changes.empty()) {
+  const bool has_changes = !read.changes.empty();
+  if (has_changes) {
     hooks_.on_changes(std::move(read.changes), watch_revision_);
-    hooks_.sleep(options_.batching_delay);
+  }
+  const TimePoint ended_at = hooks_.now();
+  hooks_.on_confirmed(ended_at - started_at > wait + options_.max_response_time
+                          ? started_at
+                          : ended_at);
+  if (has_changes) {
+    hooks_.sleep(is_relay ? options_.relay_batching_delay
+                          : options_.batching_delay);
   }
   return ReadStatus::kOk;
 }
@@ -82,15 +104,77 @@
     reachable_ = ok;
     hooks_.on_reachable(ok, status);
   }
+  is_store_current_ = ok;
   if (ok) {
-    hooks_.on_confirmed(hooks_.now());
     retry_delay_ = Duration{0};
     return;
   }
   if (newest_revision_ == 0 || !is_change) {
     QueryPeers();
   }
-  hooks_.sleep(NextRetryDelay());
+  hooks_.sleep(NextDelay(&retry_delay_, options_.min_retry_delay,
+                         newest_revision_ > 0
+                             ? options_.max_retry_delay
+                             : options_.max_initial_retry_delay));
+}
+
+bool StoreFollower::MayPollRelay() const {
+  // A relay reads the store itself, so that no two VMs follow each other.
+  return reader_.poll_relay && watch_revision_ > 0 && !IsRelay() &&
+         hooks_.now() >= next_relay_poll_at_ && reader_.relay_count() > 0;
+}
+
+bool StoreFollower::PollRelay() {
+  const TimePoint started_at = hooks_.now();
+  auto set = reader_.poll_relay(relay_choice_, watch_revision_);
+  if (!set) {
+    OnRelayRefused(std::nullopt);
+    return false;
+  }
+  // The relay may have been suspended after it measured the age.
+  const TimePoint confirmed_at = started_at - set->age;
+  const Duration age = hooks_.now() - confirmed_at;
+  if (age > options_.max_relay_age) {
+    OnRelayRefused(age);
+    return false;
+  }
+  is_store_current_ = false;
+  refusals_ = 0;
+  relay_retry_delay_ = Duration{0};
+  SetSource(ViewSource::kRelay, age);
+  // A relay that lags behind this VM has nothing new.
+  if (set->revision > watch_revision_) {
+    watch_revision_ = set->revision;
+    newest_revision_ = std::max(newest_revision_, watch_revision_);
+    if (set->complete) {
+      hooks_.on_listing({std::move(set->changes), set->revision});
+    } else {
+      hooks_.on_changes(std::move(set->changes), set->revision);
+    }
+  }
+  hooks_.on_confirmed(confirmed_at);
+  hooks_.sleep(options_.relay_poll_interval);
+  return true;
+}
+
+void StoreFollower::OnRelayRefused(std::optional<Duration> age) {
+  // The view may have become old meanwhile.
+  is_store_current_ = false;
+  SetSource(ViewSource::kStore, age);
+  ++relay_choice_;
+  if (++refusals_ % std::max(reader_.relay_count(), size_t{1}) == 0) {
+    next_relay_poll_at_ =
+        hooks_.now() + NextDelay(&relay_retry_delay_,
+                                 options_.min_relay_retry_delay,
+                                 options_.max_relay_retry_delay);
+  }
+}
+
+void StoreFollower::SetSource(ViewSource source, std::optional<Duration> age) {
+  if (source != source_) {
+    source_ = source;
+    hooks_.on_source(source, relay_choice_, age);
+  }
 }
 
 void StoreFollower::QueryPeers() {
@@ -112,14 +196,10 @@
   }
 }
 
-Duration StoreFollower::NextRetryDelay() {
-  retry_delay_ =
-      std::clamp(retry_delay_ * 2, options_.min_retry_delay,
-                 newest_revision_ > 0 ? options_.max_retry_delay
-                                      : options_.max_initial_retry_delay);
-  const auto half = static_cast<uint64_t>(retry_delay_.count() / 2);
-  return retry_delay_ -
-         Duration{static_cast<int64_t>(NextRandom() % (half + 1))};
+Duration StoreFollower::NextDelay(Duration* delay, Duration min, Duration max) {
+  *delay = std::clamp(*delay * 2, min, max);
+  const auto half = static_cast<uint64_t>(delay->count() / 2);
+  return *delay - Duration{static_cast<int64_t>(NextRandom() % (half + 1))};
 }
 
 uint64_t StoreFollower::NextRandom() {
--- a/src/discovery/store_follower.h
+++ b/src/discovery/store_follower.h
@@ -1,7 +1,9 @@
 // Keeps up with the platform's store: lists all entries once, then watches for
 // changes after the revision of the listing. Lists again when the store no
-// longer has that revision's history. This class decides when to call, how long
-// to wait and when to start over. Hooks make the calls.
+// longer has that revision's history. In a fleet with relays, polls a relay for
+// changes in place of the store, and returns to the store as soon as the relay
+// does not answer or its view is too old. This class decides whom and when to
+// call, how long to wait and when to start over. Hooks make the calls.
 #ifndef MARJORAMHALL_DISCOVERY_STORE_FOLLOWER_H_
 #define MARJORAMHALL_DISCOVERY_STORE_FOLLOWER_H_
 
@@ -53,8 +55,24 @@
   // Returns what another VM knows if it is newer than the revision. Called
   // while the store is unreachable. May be unset.
   std::function<std::optional<Listing>(uint64_t newer_than)> query_peers;
+  // Returns the number of relays that poll_relay can choose from. May be unset.
+  std::function<size_t()> relay_count;
+  // Returns the changes after a revision, or nothing if the relay did not
+  // answer or refused. `choice` modulo the number of relays selects one.
+  std::function<std::optional<ChangeSet>(size_t choice, uint64_t after)>
+      poll_relay;
 };
 
+// Where the view comes from.
+enum class ViewSource { kStore, kRelay };
+inline constexpr EnumName<ViewSource> kViewSourceNames[] = {
+    {ViewSource::kStore, "store"},
+    {ViewSource::kRelay, "relay"},
+};
+constexpr std::span<const EnumName<ViewSource>> NamesOf(ViewSource) {
+  return kViewSourceNames;
+}
+
 struct FollowerOptions {
   // Timeout of a listing call. The store usually responds in 4 ms, and up to 70
   // times later when it is slow.
@@ -88,6 +106,22 @@
   // connection may succeed. Before the first listing they follow each failed
   // call.
   Duration peer_query_interval = std::chrono::seconds(2);
+  // Time between two polls of a relay.
+  Duration relay_poll_interval = std::chrono::milliseconds(500);
+  // A relay's view that the store confirmed longer ago is not accepted.
+  Duration max_relay_age = std::chrono::seconds(1);
+  // Delay until the next poll after no relay gave an acceptable answer. It
+  // doubles up to the maximum, and a random part of up to one half is
+  // subtracted.
+  Duration min_relay_retry_delay = std::chrono::seconds(1);
+  Duration max_relay_retry_delay = std::chrono::seconds(10);
+  // The same as watch_wait and batching_delay, for a relay.
+  Duration relay_watch_wait = std::chrono::milliseconds(500);
+  Duration relay_batching_delay = std::chrono::milliseconds(20);
+  // A watch that took longer than its wait and this may have returned before
+  // the VM was suspended. Its response then confirms the view only as of the
+  // begin of the call.
+  Duration max_response_time = std::chrono::milliseconds(500);
   uint64_t seed = 1;  // of the random delays
 };
 
@@ -98,13 +132,21 @@
     std::function<void(Listing)> on_listing;
     // Later changes, in order, up to a revision of the store.
     std::function<void(std::vector<StoreChange>, uint64_t revision)> on_changes;
-    // A response of the store confirmed that all known entries were current at
-    // this time.
+    // A response of the store, directly or through a relay, confirmed that all
+    // known entries were current at this time. Called after the hooks that
+    // pass these entries on.
     std::function<void(TimePoint at)> on_confirmed;
     // The store became reachable or unreachable, as the status of a call
     // showed.
     std::function<void(bool reachable, ReadStatus status)> on_reachable;
+    // The view comes from the store or from a relay from now on. `choice` is
+    // that of poll_relay, `age` that of the relay's view if it answered.
+    std::function<void(ViewSource, size_t choice, std::optional<Duration> age)>
+        on_source;
+    // Returns whether other VMs follow this one. May be unset.
+    std::function<bool()> is_relay;
     std::function<void(Duration)> sleep;
+    // A clock that also advances while the VM is suspended.
     Clock now;
     std::function<bool()> stopping;
   };
@@ -125,13 +167,22 @@
     std::vector<StoreChange> items;
     std::string after;  // key of the last item
     uint64_t first_revision = 0;
+    TimePoint started_at;  // begin of the call for the first page
   };
 
   ReadStatus List();
   ReadStatus Watch();
   void QueryPeers();
   void OnStatus(ReadStatus status);
-  Duration NextRetryDelay();
+  bool MayPollRelay() const;
+  // Returns whether the relay's view was accepted.
+  bool PollRelay();
+  void OnRelayRefused(std::optional<Duration> age);
+  void SetSource(ViewSource source, std::optional<Duration> age);
+  bool IsRelay() const { return hooks_.is_relay && hooks_.is_relay(); }
+  // Doubles a delay within bounds and returns it with its random part
+  // subtracted.
+  Duration NextDelay(Duration* delay, Duration min, Duration max);
   uint64_t NextRandom();
 
   const FollowerOptions options_;
@@ -144,7 +195,14 @@
   Duration retry_delay_{0};  // 0 after a successful call
   bool reachable_ = false;
   bool has_listed_ = false;  // List() has been called
-  uint64_t random_state_;    // xorshift generator, never 0
+  // The last call was a successful one of the store. A watch may then wait.
+  bool is_store_current_ = false;
+  ViewSource source_ = ViewSource::kStore;
+  size_t relay_choice_ = 0;
+  size_t refusals_ = 0;  // of relays, since one was accepted
+  Duration relay_retry_delay_{0};
+  TimePoint next_relay_poll_at_;
+  uint64_t random_state_;  // xorshift generator, never 0
 };
 
 }  // namespace marjoramhall::discovery
--- a/src/discovery/target_registry.cc
+++ b/src/discovery/target_registry.cc
@@ -50,7 +50,11 @@
   std::set<std::string> present;
   for (const StoreChange& it : listing.items) {
     present.insert(it.key);
-    changed |= Apply(it, now);
+    // A target that only an older listing contains has left and is forgotten.
+    if (!it.is_target || listing.revision >= revision_ ||
+        targets_.contains(it.key)) {
+      changed |= Apply(it, now);
+    }
   }
   for (auto& [key, entry] : targets_) {
     if (present.contains(key) || entry.revision > listing.revision) {
--- a/src/discovery/target_registry.h
+++ b/src/discovery/target_registry.h
@@ -41,7 +41,8 @@
                     TimePoint now);
 
   // Applies a complete listing. Keys that are not in it are treated as removed,
-  // unless they changed after it. Returns whether the view changed.
+  // unless they changed after it. A listing of an earlier revision than the
+  // known one adds no targets. Returns whether the view changed.
   bool ApplyListing(const Listing& listing, TimePoint now);
 
   // The configuration and all active and draining targets, for other VMs. The
--- a/src/net/peer_announcer.cc
+++ b/src/net/peer_announcer.cc
@@ -7,6 +7,7 @@
 #include <asio/ip/udp.hpp>
 #include <asio/steady_timer.hpp>
 #include <limits>
+#include <map>
 #include <mutex>
 #include <utility>
 
@@ -19,6 +20,10 @@
 
 // Number of recorded peers. Enough to find one that still runs.
 constexpr size_t kMaxRecentPeers = 8;
+// A seed hears from a VM once per interval and seed, about every 1.2 s.
+constexpr Duration kCountedFor = std::chrono::seconds(4);
+// Bounds the memory for counting VMs.
+constexpr size_t kMaxCountedPeers = 4096;
 // An announcement has two numbers; the rest allows for fields of later
 // versions.
 constexpr size_t kMaxAnnouncementBytes = 256;
@@ -70,6 +75,9 @@
     }
     const Endpoint peer{IpAddress::FromV4(sender.address().to_v4().to_uint()),
                         static_cast<uint16_t>(message.snapshot_port())};
+    if (heard_at.size() < kMaxCountedPeers || heard_at.contains(peer)) {
+      heard_at[peer] = SteadyNow();
+    }
     const std::lock_guard lock(mutex);
     std::erase(recent_peers, peer);
     recent_peers.insert(recent_peers.begin(), peer);
@@ -108,6 +116,7 @@
   size_t next_seed = 0;
   std::array<char, kMaxAnnouncementBytes> buf{};
   udp::endpoint sender;
+  std::map<Endpoint, TimePoint> heard_at;  // last announcement of each VM
 
   mutable std::mutex mutex;
   std::vector<Endpoint> recent_peers;  // guarded by mutex, newest first
@@ -150,4 +159,11 @@
   return impl_->recent_peers;
 }
 
+size_t PeerAnnouncer::CountRecentPeers(TimePoint now) {
+  std::erase_if(impl_->heard_at, [now](const auto& it) {
+    return now - it.second > kCountedFor;
+  });
+  return impl_->heard_at.size();
+}
+
 }  // namespace marjoramhall::net
--- a/src/net/peer_announcer.h
+++ b/src/net/peer_announcer.h
@@ -51,6 +51,10 @@
   // newest first. Thread-safe.
   std::vector<Endpoint> RecentPeers() const;
 
+  // Returns the number of VMs that announced themselves to this one within the
+  // last few seconds. Cost: linear in that number.
+  size_t CountRecentPeers(TimePoint now);
+
  private:
   struct Impl;
   std::unique_ptr<Impl> impl_;
--- /dev/null
+++ b/src/net/relay_client.cc
@@ -0,0 +1,36 @@
+// Polls relays with HttpClient.
+#include "src/net/relay_client.h"
+
+#include <chrono>
+#include <utility>
+
+namespace marjoramhall::net {
+namespace {
+
+// The round trip to a relay takes a few milliseconds; the rest allows for a
+// busy one. The store is asked after these times, so they delay changes.
+constexpr auto kConnectTimeout = std::chrono::milliseconds(150);
+constexpr auto kResponseTimeout = std::chrono::milliseconds(350);
+
+constexpr int kStatusOk = 200;
+
+}  // namespace
+
+std::optional<std::string> RelayClient::Poll(const Endpoint& relay,
+                                             uint64_t after) {
+  if (client_ == nullptr || relay != relay_) {
+    client_ =
+        std::make_unique<HttpClient>(HttpClientOptions{relay, kConnectTimeout});
+    relay_ = relay;
+  }
+  auto response =
+      client_->Get(std::string(kChangesPath) + "?" + kAfterParameter + "=" +
+                       std::to_string(after),
+                   kResponseTimeout);
+  if (!response || response->status != kStatusOk) {
+    return std::nullopt;
+  }
+  return std::move(response->body);
+}
+
+}  // namespace marjoramhall::net
--- a/src/net/status_server.cc
+++ b/src/net/status_server.cc
@@ -13,6 +13,7 @@
 #include <boost/beast/http/empty_body.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <chrono>
+#include <optional>
 #include <utility>
 
 namespace marjoramhall::net {
@@ -23,8 +24,6 @@
 
 // Readiness is checked twice a second, so a slower check has failed anyway.
 constexpr auto kConnectionTimeout = std::chrono::milliseconds(500);
-// The clients are the routers, monitoring, and VMs that fetch a snapshot.
-constexpr size_t kMaxConnections = 64;
 constexpr size_t kMaxRequestBytes = 4096;
 // Short compared to the interval of readiness checks.
 constexpr auto kAcceptRetryDelay = std::chrono::milliseconds(100);
@@ -56,13 +55,17 @@
     asio::steady_timer timer;
     std::array<char, kMaxRequestBytes> buf{};
     size_t received = 0;
-    http::request_parser<http::empty_body> parser;
+    std::optional<http::request_parser<http::empty_body>> parser{std::in_place};
     std::string response_text;
   };
   using ConnectionPtr = std::shared_ptr<Connection>;
 
-  Impl(asio::io_context& io, Endpoint endpoint, std::vector<StatusRoute> given)
-      : listen(endpoint),
+  Impl(asio::io_context& io,
+       Endpoint endpoint,
+       std::vector<StatusRoute> given,
+       StatusServerOptions initial)
+      : options(initial),
+        listen(endpoint),
         routes(std::move(given)),
         acceptor(io),
         accept_timer(io) {}
@@ -78,7 +81,7 @@
         return;
       }
       // A connection above the limit is closed by its destructor.
-      if (self->connections < kMaxConnections) {
+      if (self->connections < self->options.max_connections) {
         self->Serve(std::make_shared<Connection>(std::move(socket)));
       }
       self->Accept();
@@ -98,14 +101,23 @@
 
   void Serve(const ConnectionPtr& it) {
     ++connections;
-    it->timer.expires_after(kConnectionTimeout);
+    std::error_code ec;
+    // Without this, a response to a further request may wait for the
+    // acknowledgment of the one before.
+    it->socket.set_option(tcp::no_delay(true), ec);
+    CloseAfter(it, kConnectionTimeout);
+    Read(it);
+  }
+
+  // Replaces an earlier time limit of the connection.
+  static void CloseAfter(const ConnectionPtr& it, Duration delay) {
+    it->timer.expires_after(delay);
     it->timer.async_wait([it](std::error_code ec) {
       if (!ec) {
         std::error_code closed;
         it->socket.close(closed);  // cancels the pending operation
       }
     });
-    Read(it);
   }
 
   void Read(const ConnectionPtr& it) {
@@ -117,6 +129,9 @@
             self->End(*it);
             return;
           }
+          if (it->received == 0) {
+            CloseAfter(it, kConnectionTimeout);
+          }
           it->received += n;
           self->OnBytes(it);
         });
@@ -125,19 +140,21 @@
   void OnBytes(const ConnectionPtr& it) {
     boost::beast::error_code ec;
     const size_t used =
-        it->parser.put(boost::asio::buffer(it->buf.data(), it->received), ec);
+        it->parser->put(boost::asio::buffer(it->buf.data(), it->received), ec);
     std::copy(it->buf.begin() + static_cast<ptrdiff_t>(used),
               it->buf.begin() + static_cast<ptrdiff_t>(it->received),
               it->buf.begin());
     it->received -= used;
     const bool incomplete =
-        (!ec || ec == http::error::need_more) && !it->parser.is_header_done();
+        (!ec || ec == http::error::need_more) && !it->parser->is_header_done();
     if (incomplete && it->received < it->buf.size()) {
       Read(it);
-    } else if (it->parser.is_header_done()) {
-      Respond(it, HandleRequest(it->parser.get()));
+    } else if (it->parser->is_header_done()) {
+      const bool keep_alive =
+          options.keep_alive > Duration{0} && it->parser->get().keep_alive();
+      Respond(it, HandleRequest(it->parser->get()), keep_alive);
     } else {
-      Respond(it, {kStatusBadRequest, "request not understood\n"});
+      Respond(it, {kStatusBadRequest, "request not understood\n"}, false);
     }
   }
 
@@ -161,22 +178,40 @@
                  });
   }
 
-  void Respond(const ConnectionPtr& it, const StatusResponse& response) {
+  void Respond(const ConnectionPtr& it,
+               const StatusResponse& response,
+               bool keep_alive) {
     const auto reason =
         http::obsolete_reason(static_cast<http::status>(response.status));
     it->response_text = fmt::format(
         "HTTP/1.1 {} {}\r\nContent-Type: text/plain; version=0.0.4\r\n"
-        "Content-Length: {}\r\nConnection: close\r\n\r\n{}",
+        "Content-Length: {}\r\n{}\r\n{}",
         response.status, std::string_view(reason.data(), reason.size()),
-        response.body.size(), response.body);
-    asio::async_write(
-        it->socket, asio::buffer(it->response_text),
-        [self = shared_from_this(), it](std::error_code ec, size_t) {
-          if (!ec) {
-            it->socket.shutdown(tcp::socket::shutdown_send, ec);
-          }
-          self->End(*it);
-        });
+        response.body.size(), keep_alive ? "" : "Connection: close\r\n",
+        response.body);
+    asio::async_write(it->socket, asio::buffer(it->response_text),
+                      [self = shared_from_this(), it, keep_alive](
+                          std::error_code ec, size_t) {
+                        if (!ec && keep_alive) {
+                          self->AwaitNextRequest(it);
+                          return;
+                        }
+                        if (!ec) {
+                          it->socket.shutdown(tcp::socket::shutdown_send, ec);
+                        }
+                        self->End(*it);
+                      });
+  }
+
+  void AwaitNextRequest(const ConnectionPtr& it) {
+    it->parser.emplace();
+    if (it->received > 0) {
+      CloseAfter(it, kConnectionTimeout);
+      OnBytes(it);
+      return;
+    }
+    CloseAfter(it, options.keep_alive);
+    Read(it);
   }
 
   void End(Connection& connection) {
@@ -184,6 +219,7 @@
     --connections;
   }
 
+  const StatusServerOptions options;
   const Endpoint listen;
   const std::vector<StatusRoute> routes;
   tcp::acceptor acceptor;
@@ -193,8 +229,9 @@
 
 StatusServer::StatusServer(asio::io_context& io,
                            Endpoint listen,
-                           std::vector<StatusRoute> routes)
-    : impl_(std::make_shared<Impl>(io, listen, std::move(routes))) {}
+                           std::vector<StatusRoute> routes,
+                           StatusServerOptions options)
+    : impl_(std::make_shared<Impl>(io, listen, std::move(routes), options)) {}
 
 StatusServer::~StatusServer() {
   std::error_code ec;
--- a/src/net/status_server.h
+++ b/src/net/status_server.h
@@ -1,5 +1,5 @@
-// A small HTTP/1.1 server for readiness, metrics and snapshots. It runs on the
-// thread of its io_context and serves one request per connection.
+// A small HTTP/1.1 server for readiness, metrics, snapshots and relayed
+// changes. It runs on the thread of its io_context.
 #ifndef MARJORAMHALL_NET_STATUS_SERVER_H_
 #define MARJORAMHALL_NET_STATUS_SERVER_H_
 
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "src/base/endpoint.h"
+#include "src/base/time.h"
 
 namespace asio {
 class io_context;
@@ -32,11 +33,20 @@
   std::function<StatusResponse(const QueryParameter& query)> handler;
 };
 
+struct StatusServerOptions {
+  // Connections above this number are closed at once.
+  size_t max_connections = 64;
+  // How long a connection stays open for a further request. With 0 it serves
+  // one request.
+  Duration keep_alive{0};
+};
+
 class StatusServer {
  public:
   StatusServer(asio::io_context& io,
                Endpoint listen,
-               std::vector<StatusRoute> routes);
+               std::vector<StatusRoute> routes,
+               StatusServerOptions options = {});
   ~StatusServer();
   StatusServer(const StatusServer&) = delete;
   StatusServer& operator=(const StatusServer&) = delete;
--- a/tests/app/forward_process_test.cc
+++ b/tests/app/forward_process_test.cc
@@ -7,6 +7,7 @@
 
 #include <asio/io_context.hpp>
 #include <asio/ip/tcp.hpp>
+#include <atomic>
 #include <csignal>
 #include <filesystem>
 #include <fstream>
@@ -16,10 +17,14 @@
 #include "platform/packet_codec.h"
 #include "platform/readiness_path.h"
 #include "platform/standin/store.h"
+#include "src/discovery/change_relay.h"
 #include "src/net/flow_path_socket.h"
 #include "src/net/http_library.h"
+#include "src/net/relay_client.h"
 #include "src/net/snapshot_client.h"
+#include "src/net/status_server.h"
 #include "src/observe/log_rate_limiter.h"
+#include "src/protocol/announcement.pb.h"
 
 namespace marjoramhall::app {
 namespace {
@@ -239,5 +244,96 @@
   EXPECT_TRUE(seed.WaitReadable(kTimeout));
 }
 
+TEST_F(ForwardProcessTest, RelaysChangesInAFleetOnly) {
+  Start();
+  ASSERT_TRUE(WaitForReadiness(200));
+  const std::string poll = "/v1/changes?after=0";
+  EXPECT_EQ(Get(settings_.forward.peers, poll).first, 503);
+  net::UdpSocket other;
+  ASSERT_EQ(other.Open(AnyLoopback()), "");
+  for (uint32_t i = 0; i < discovery::ChangeRelayOptions().min_peers; ++i) {
+    protocol::Announcement message;
+    message.set_revision(1);
+    message.set_snapshot_port(1000 + i);
+    const std::string bytes = message.SerializeAsString();
+    net::SendBatch batch;
+    batch.Add(settings_.forward.announce, {},
+              {reinterpret_cast<const uint8_t*>(bytes.data()), bytes.size()});
+    other.Send(batch);
+  }
+  const auto end = std::chrono::steady_clock::now() + kTimeout;
+  std::pair<int, std::string> answer;
+  while (answer.first != 200 && std::chrono::steady_clock::now() < end) {
+    answer = Get(settings_.forward.peers, poll);
+    std::this_thread::sleep_for(std::chrono::milliseconds(20));
+  }
+  const auto set = discovery::DecodeChangeSet(answer.second);
+  ASSERT_TRUE(set);
+  EXPECT_TRUE(set->complete);
+  EXPECT_EQ(set->changes.size(), 2U);  // the configuration and the target
+
+  // A change of the store reaches the next poll.
+  store_.RemoveTarget("i-0000002a");
+  const std::string next = "/v1/changes?after=" + std::to_string(set->revision);
+  std::optional<discovery::ChangeSet> changes;
+  while ((!changes || changes->changes.empty()) &&
+         std::chrono::steady_clock::now() < end) {
+    changes =
+        discovery::DecodeChangeSet(Get(settings_.forward.peers, next).second);
+    std::this_thread::sleep_for(std::chrono::milliseconds(20));
+  }
+  ASSERT_TRUE(changes);
+  ASSERT_EQ(changes->changes.size(), 1U);
+  EXPECT_TRUE(changes->changes[0].removed);
+
+  // A stopping VM sends its followers away.
+  std::raise(SIGTERM);
+  ASSERT_TRUE(WaitForReadiness(503));
+  EXPECT_NE(Get(settings_.forward.peers, poll).first, 200);
+}
+
+TEST_F(ForwardProcessTest, FollowsARelay) {
+  // The relay names a target that the store does not have, so that the target
+  // shows whom this VM follows.
+  asio::io_context relay_io;
+  discovery::ChangeSet set;
+  discovery::StoreChange change;
+  change.key = "servers/i-0000002b";
+  change.is_target = true;
+  change.target.emplace().id = "i-0000002b";
+  change.target->instance = 0x2b;
+  change.target->service = "s";
+  change.target->address = {AnyLoopback().address, 9};
+  std::atomic<bool> polled{false};
+  net::StatusServer relay(
+      relay_io, AnyLoopback(),
+      {{net::kChangesPath, [&](const net::QueryParameter& query) {
+          set.revision = std::stoull(query(net::kAfterParameter)) + 1;
+          change.revision = set.revision;
+          set.changes = {change};
+          polled = true;
+          return net::StatusResponse{200, discovery::EncodeChangeSet(set)};
+        }}});
+  ASSERT_EQ(relay.Open(), "");
+  std::thread relay_runner([&] { relay_io.run(); });
+  settings_.forward.seeds = {relay.LocalEndpoint()};
+  Start();
+  EXPECT_TRUE(WaitForReadiness(200));
+  const auto end = std::chrono::steady_clock::now() + kTimeout;
+  std::string metrics;
+  while (metrics.find("marjoramhall_forward_targets 2") == std::string::npos &&
+         std::chrono::steady_clock::now() < end) {
+    metrics = Get(settings_.forward.peers, "/metrics").second;
+    std::this_thread::sleep_for(std::chrono::milliseconds(20));
+  }
+  EXPECT_TRUE(polled);
+  EXPECT_NE(metrics.find("marjoramhall_forward_targets 2"), std::string::npos)
+      << metrics;
+  std::raise(SIGTERM);
+  runner_.join();
+  relay_io.stop();
+  relay_runner.join();
+}
+
 }  // namespace
 }  // namespace marjoramhall::app
--- a/tests/discovery/store_follower_test.cc
+++ b/tests/discovery/store_follower_test.cc
@@ -1,6 +1,6 @@
 // Guards against a view that stays behind the store because of compacted
-// history, changes between the pages of a listing, or a store that is down,
-// slow or busy.
+// history, changes between the pages of a listing, a store that is down, slow
+// or busy, or a relay that is.
 #include "src/discovery/store_follower.h"
 
 #include <gtest/gtest.h>
@@ -55,6 +55,12 @@
       peer_queries_.push_back(newer_than);
       return peer_listing_;
     };
+    reader.relay_count = [this] { return relay_count_; };
+    reader.poll_relay = [this](size_t choice, uint64_t after) {
+      polls_.emplace_back(choice % relay_count_, after);
+      now_ += poll_time_;
+      return relay_answer_;
+    };
     return reader;
   }
 
@@ -69,6 +75,11 @@
     hooks.on_reachable = [this](bool reachable, ReadStatus) {
       reachable_.push_back(reachable);
     };
+    hooks.on_source = [this](ViewSource source, size_t,
+                             std::optional<Duration>) {
+      sources_.push_back(source);
+    };
+    hooks.is_relay = [this] { return is_relay_; };
     hooks.sleep = [this](Duration span) {
       slept_.push_back(span);
       now_ += span;
@@ -96,6 +107,12 @@
   TimePoint now_{seconds(1000)};
   std::deque<StoreRead> answers_;
   std::optional<Listing> peer_listing_;
+  size_t relay_count_ = 0;
+  std::optional<ChangeSet> relay_answer_;
+  Duration poll_time_{0};
+  bool is_relay_ = false;
+  std::vector<std::pair<size_t, uint64_t>> polls_;  // relay and revision
+  std::vector<ViewSource> sources_;
   std::vector<std::string> listed_after_;
   std::vector<Duration> timeouts_;
   std::vector<uint64_t> watched_after_;
@@ -296,5 +313,128 @@
   }
 }
 
+ChangeSet MakeSet(uint64_t revision, std::vector<StoreChange> changes = {}) {
+  ChangeSet set;
+  set.revision = revision;
+  set.changes = std::move(changes);
+  set.age = milliseconds(100);
+  return set;
+}
+
+TEST_F(StoreFollowerTest, PollsARelayInPlaceOfTheStore) {
+  answers_ = {Ok(10)};
+  relay_count_ = 3;
+  relay_answer_ = MakeSet(12, {MakeChange("a", 12)});
+  Steps(21);
+  EXPECT_TRUE(watched_after_.empty());
+  EXPECT_EQ(polls_.size(), 20U);
+  EXPECT_EQ(polls_.front().second, 10U);
+  EXPECT_EQ(polls_.back().second, 12U);
+  EXPECT_EQ(changes_, 1U);
+  EXPECT_EQ(sources_, std::vector<ViewSource>{ViewSource::kRelay});
+  EXPECT_EQ(now_ - confirmed_at_,
+            FollowerOptions().relay_poll_interval + milliseconds(100));
+}
+
+TEST_F(StoreFollowerTest, ReplacesAllEntriesByACompleteSet) {
+  answers_ = {Ok(10)};
+  relay_count_ = 1;
+  relay_answer_ = MakeSet(50, {MakeChange("a", 12)});
+  relay_answer_->complete = true;
+  Steps(2);
+  ASSERT_EQ(listings_.size(), 2U);
+  EXPECT_EQ(listings_[1].revision, 50U);
+}
+
+TEST_F(StoreFollowerTest, TurnsToTheStoreAtOnceWhenTheRelayIsSilent) {
+  answers_ = {Ok(10), Ok(11), Ok(11), Ok(11)};
+  relay_count_ = 2;
+  relay_answer_ = MakeSet(10);
+  Steps(2);
+  const size_t relay = polls_.back().first;
+  relay_answer_.reset();
+  Steps(1);
+  EXPECT_EQ(watched_after_, std::vector<uint64_t>{10});
+  EXPECT_EQ(waits_, std::vector<Duration>{FollowerOptions().probe_wait});
+  EXPECT_EQ(sources_,
+            (std::vector<ViewSource>{ViewSource::kRelay, ViewSource::kStore}));
+  // The next poll goes to another relay.
+  Steps(1);
+  EXPECT_NE(polls_.back().first, relay);
+  // No relay answers: the store alone is watched for a while.
+  const size_t polls = polls_.size();
+  Steps(1);
+  EXPECT_EQ(polls_.size(), polls);
+  EXPECT_EQ(waits_.back(), FollowerOptions().watch_wait);
+}
+
+TEST_F(StoreFollowerTest, RejectsARelayWhoseViewIsTooOld) {
+  // A relay that was cut off from the store, or suspended after it measured the
+  // age of its view, must not make an old view look current.
+  const FollowerOptions options;
+  answers_ = {Ok(10), Ok(11)};
+  relay_count_ = 1;
+  relay_answer_ = MakeSet(10);
+  relay_answer_->age = options.max_relay_age - milliseconds(200);
+  poll_time_ = milliseconds(201);
+  Steps(2);
+  EXPECT_TRUE(sources_.empty());
+  EXPECT_EQ(watched_after_, std::vector<uint64_t>{10});
+  EXPECT_EQ(confirmed_at_, now_);
+}
+
+TEST_F(StoreFollowerTest, PollsRelaysAgainAfterADelay) {
+  answers_.assign(1000, Ok(10));
+  relay_count_ = 3;
+  Steps(40);
+  EXPECT_EQ(polls_.size(), 3U);  // the clock stands still
+  const Duration max_delay = FollowerOptions().max_relay_retry_delay;
+  for (int i = 0; i < 100; ++i) {
+    now_ += seconds(1);
+    Steps(1);
+  }
+  EXPECT_GE(polls_.size(), 3U * (seconds(100) / max_delay));
+  EXPECT_LE(polls_.size(), 3U * (seconds(200) / max_delay + 8));
+  relay_answer_ = MakeSet(10);
+  now_ += max_delay;
+  Steps(1);
+  EXPECT_EQ(sources_, std::vector<ViewSource>{ViewSource::kRelay});
+}
+
+TEST_F(StoreFollowerTest, ARelayWatchesTheStoreItself) {
+  // Two VMs that follow each other would not notice a change.
+  answers_ = {Ok(10), Ok(10)};
+  relay_count_ = 2;
+  relay_answer_ = MakeSet(10);
+  is_relay_ = true;
+  Steps(2);
+  EXPECT_TRUE(polls_.empty());
+  EXPECT_EQ(waits_, std::vector<Duration>{FollowerOptions().relay_watch_wait});
+}
+
+TEST_F(StoreFollowerTest, ConfirmsFromTheBeginOfACallThatWasSuspended) {
+  // The response may be as old as the suspension.
+  StoreReader reader = Reader();
+  reader.watch = [this](uint64_t, Duration wait) {
+    now_ += wait + FollowerOptions().max_response_time + milliseconds(1);
+    return Ok(10);
+  };
+  StoreFollower follower({}, reader, Hooks());
+  answers_ = {Ok(10)};
+  follower.Step();
+  const TimePoint start = now_;
+  follower.Step();
+  EXPECT_EQ(confirmed_at_, start);
+}
+
+TEST_F(StoreFollowerTest, ConfirmsBeforeTheDelayBetweenWatches) {
+  answers_ = {Ok(10), Ok(11, {MakeChange("a", 11)})};
+  Steps(1);
+  const TimePoint received = now_;
+  Steps(1);
+  EXPECT_GT(now_, received);
+  EXPECT_EQ(confirmed_at_, received);
+}
+
 }  // namespace
 }  // namespace marjoramhall::discovery
--- a/tests/discovery/target_registry_test.cc
+++ b/tests/discovery/target_registry_test.cc
@@ -167,6 +167,14 @@
   EXPECT_EQ(StateOf(8), TargetState::kActive);
 }
 
+TEST_F(TargetRegistryTest, AddsNoTargetsFromAnOlderListing) {
+  // The snapshot of a VM that was cut off names a target that left long ago.
+  registry_.ApplyListing({{MakeConfig(1, 443)}, 20}, now_);
+  registry_.ApplyListing({{MakePut(MakeRecord(7, 80), 4)}, 10}, now_);
+  EXPECT_EQ(registry_.target_count(), 0U);
+  EXPECT_EQ(registry_.revision(), 20U);
+}
+
 TEST_F(TargetRegistryTest, IgnoresAnOlderConfiguration) {
   Apply(MakeConfig(9, 444), 2);
   Apply(MakeConfig(8, 445), 3);
--- a/tests/net/status_server_test.cc
+++ b/tests/net/status_server_test.cc
@@ -153,5 +153,54 @@
             std::string::npos);
 }
 
+TEST_F(StatusServerTest, ClosesTheConnectionAfterAResponseByDefault) {
+  const std::string request = "GET /ready HTTP/1.1\r\nHost: a\r\n\r\n";
+  const std::string response = Exchange(request + request);
+  EXPECT_EQ(response.find("200", response.find("200") + 1), std::string::npos);
+}
+
+TEST_F(StatusServerTest, KeepsConnectionsForFurtherRequests) {
+  // A relay with a hundred followers that connect for each poll would spend its
+  // time on connections.
+  StatusServerOptions options;
+  options.keep_alive = std::chrono::milliseconds(200);
+  size_t requests = 0;
+  StatusServer server(
+      io_, Endpoint{IpAddress::FromV4(0x7f000001), 0},
+      {{"/count",
+        [&requests](const QueryParameter&) {
+          return StatusResponse{200, std::to_string(++requests)};
+        }}},
+      options);
+  ASSERT_EQ(server.Open(), "");
+  tcp::socket socket(client_io_);
+  socket.connect(
+      {asio::ip::make_address_v4("127.0.0.1"), server.LocalEndpoint().port});
+  const std::string request = "GET /count HTTP/1.1\r\nHost: a\r\n\r\n";
+  // Two requests at once, then one that asks for the end of the connection.
+  std::error_code ec;
+  asio::write(socket, asio::buffer(request + request), ec);
+  asio::write(
+      socket,
+      asio::buffer(std::string(
+          "GET /count HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n")),
+      ec);
+  std::string response;
+  asio::read(socket, asio::dynamic_buffer(response), ec);
+  EXPECT_EQ(ec, asio::error::eof);
+  for (const char* body : {"\r\n\r\n1", "\r\n\r\n2", "\r\n\r\n3"}) {
+    EXPECT_NE(response.find(body), std::string::npos) << response;
+  }
+  // An idle connection is closed.
+  tcp::socket idle(client_io_);
+  idle.connect(
+      {asio::ip::make_address_v4("127.0.0.1"), server.LocalEndpoint().port});
+  asio::write(idle, asio::buffer(request), ec);
+  response.clear();
+  asio::read(idle, asio::dynamic_buffer(response), ec);
+  EXPECT_EQ(ec, asio::error::eof);
+  EXPECT_NE(response.find("\r\n\r\n4"), std::string::npos);
+}
+
 }  // namespace
 }  // namespace marjoramhall::net
