Begin with a cheap listing that a watch brings up to date

Cause: a VM lists the store in two calls at each start.

Change: the first listing may show a state of some seconds ago (a tenth of the price, not subject to the rate limit). It is held back until a watch from its revision has succeeded; if the history is gone or no watch succeeds, it is discarded and the current state is listed, so that a target that left is never used again. A VM that knows more never asks for an old listing. Relays that refuse quickly are tried in turn before the store is called.

--- a/src/app/store_thread.cc
+++ b/src/app/store_thread.cc
@@ -34,6 +34,7 @@
 discovery::FollowerOptions FollowerOptionsOf(
     const StoreThreadOptions& options) {
   discovery::FollowerOptions follower;
+  follower.first_listing_may_be_old = true;
   follower.watch_wait = kWatchTimeout;
   follower.batching_delay =
       std::min(options.change_bound / kBatchingDelayDivisor, kMaxBatchingDelay);
--- a/src/discovery/store_follower.cc
+++ b/src/discovery/store_follower.cc
@@ -13,6 +13,7 @@
     : options_(options),
       reader_(std::move(reader)),
       hooks_(std::move(hooks)),
+      may_list_old_(options.first_listing_may_be_old),
       // Spreads the fleet over the relays.
       relay_choice_(options.seed),
       random_state_(options.seed | 1) {}
@@ -37,11 +38,14 @@
       (!is_first && NextRandom() % options_.long_timeout_interval == 0);
   const Duration timeout =
       use_long_timeout ? options_.list_timeout : options_.initial_list_timeout;
+  // Only a VM that knows nothing may use an old listing: it would take any
+  // other back to targets that have left.
+  const bool may_be_old = newest_revision_ == 0 && may_list_old_;
   for (;;) {
     if (partial_.first_revision == 0) {
       partial_.started_at = hooks_.now();
     }
-    StoreRead page = reader_.list(partial_.after, timeout);
+    StoreRead page = reader_.list(partial_.after, may_be_old, timeout);
     if (page.status != ReadStatus::kOk) {
       return page.status;
     }
@@ -59,12 +63,31 @@
   }
   PartialListing complete = std::exchange(partial_, PartialListing{});
   watch_revision_ = complete.first_revision;
+  if (may_be_old) {
+    old_listing_ = Listing{std::move(complete.items), watch_revision_};
+    return Watch();
+  }
   newest_revision_ = std::max(newest_revision_, watch_revision_);
   hooks_.on_listing({std::move(complete.items), watch_revision_});
   hooks_.on_confirmed(complete.started_at);
   return ReadStatus::kOk;
 }
 
+void StoreFollower::PublishOldListing() {
+  if (old_listing_) {
+    newest_revision_ = watch_revision_;
+    hooks_.on_listing(*std::exchange(old_listing_, std::nullopt));
+  }
+}
+
+void StoreFollower::DiscardOldListing() {
+  if (old_listing_) {
+    old_listing_.reset();
+    watch_revision_ = 0;
+    may_list_old_ = false;
+  }
+}
+
 ReadStatus StoreFollower::Watch() {
   const bool is_relay = IsRelay();
   Duration wait = options_.probe_wait;
@@ -73,13 +96,15 @@
   }
   const TimePoint started_at = hooks_.now();
   StoreRead read = reader_.watch(watch_revision_, wait);
-  if (read.status == ReadStatus::kHistoryGone) {
+  if (read.status != ReadStatus::kOk) {
+    DiscardOldListing();
+    if (read.status != ReadStatus::kHistoryGone) {
+      return read.status;
+    }
     watch_revision_ = 0;
     return ReadStatus::kOk;
   }
-  if (read.status != ReadStatus::kOk) {
-    return read.status;
-  }
+  PublishOldListing();
   watch_revision_ = std::max(watch_revision_, read.revision);
   newest_revision_ = std::max(newest_revision_, watch_revision_);
   const bool has_changes = !read.changes.empty();
@@ -125,14 +150,26 @@
 }
 
 bool StoreFollower::PollRelay() {
-  const TimePoint started_at = hooks_.now();
-  auto set = reader_.poll_relay(relay_choice_, watch_revision_);
-  if (!set) {
-    OnRelayRefused(std::nullopt);
-    return false;
+  for (;;) {
+    const TimePoint started_at = hooks_.now();
+    auto set = reader_.poll_relay(relay_choice_, watch_revision_);
+    if (set && AcceptRelay(*std::move(set), started_at)) {
+      return true;
+    }
+    if (!set) {
+      OnRelayRefused(std::nullopt);
+    }
+    const TimePoint now = hooks_.now();
+    if (now - started_at > options_.quick_refusal ||
+        now < next_relay_poll_at_) {
+      return false;
+    }
   }
+}
+
+bool StoreFollower::AcceptRelay(ChangeSet set, TimePoint started_at) {
   // The relay may have been suspended after it measured the age.
-  const TimePoint confirmed_at = started_at - set->age;
+  const TimePoint confirmed_at = started_at - set.age;
   const Duration age = hooks_.now() - confirmed_at;
   if (age > options_.max_relay_age) {
     OnRelayRefused(age);
@@ -143,13 +180,13 @@
   relay_retry_delay_ = Duration{0};
   SetSource(ViewSource::kRelay, age);
   // A relay that lags behind this VM has nothing new.
-  if (set->revision > watch_revision_) {
-    watch_revision_ = set->revision;
+  if (set.revision > watch_revision_) {
+    watch_revision_ = set.revision;
     newest_revision_ = std::max(newest_revision_, watch_revision_);
-    if (set->complete) {
-      hooks_.on_listing({std::move(set->changes), set->revision});
+    if (set.complete) {
+      hooks_.on_listing({std::move(set.changes), set.revision});
     } else {
-      hooks_.on_changes(std::move(set->changes), set->revision);
+      hooks_.on_changes(std::move(set.changes), set.revision);
     }
   }
   hooks_.on_confirmed(confirmed_at);
--- a/src/discovery/store_follower.h
+++ b/src/discovery/store_follower.h
@@ -1,5 +1,7 @@
 // Keeps up with the platform's store: lists all entries once, then watches for
-// changes after the revision of the listing. Lists again when the store no
+// changes after the revision of the listing. The first listing may be some
+// seconds old, which is cheaper; it is used when a watch has brought it up to
+// date. Lists again when the store no
 // longer has that revision's history. In a fleet with relays, polls a relay for
 // changes in place of the store, and returns to the store as soon as the relay
 // does not answer or its view is too old. This class decides whom and when to
@@ -49,7 +51,11 @@
 
 // Blocking calls. Each returns within its time limit.
 struct StoreReader {
-  std::function<StoreRead(const std::string& after_key, Duration timeout)> list;
+  // `may_be_old`: the page may show a state of some seconds ago.
+  std::function<StoreRead(const std::string& after_key,
+                          bool may_be_old,
+                          Duration timeout)>
+      list;
   // Waits up to `wait` for changes after a revision.
   std::function<StoreRead(uint64_t after, Duration wait)> watch;
   // Returns what another VM knows if it is newer than the revision. Called
@@ -74,6 +80,9 @@
 }
 
 struct FollowerOptions {
+  // Whether the first listing may show a state of some seconds ago. It is cheap
+  // then, and not passed on before a watch has brought it up to date.
+  bool first_listing_may_be_old = false;
   // Timeout of a listing call. The store usually responds in 4 ms, and up to 70
   // times later when it is slow.
   Duration list_timeout = std::chrono::milliseconds(1000);
@@ -118,6 +127,9 @@
   // The same as watch_wait and batching_delay, for a relay.
   Duration relay_watch_wait = std::chrono::milliseconds(500);
   Duration relay_batching_delay = std::chrono::milliseconds(20);
+  // A relay that refuses within this time leaves time for another one before
+  // the store is called.
+  Duration quick_refusal = std::chrono::milliseconds(50);
   // A watch that took longer than its wait and this may have returned before
   // the VM was suspended. Its response then confirms the view only as of the
   // begin of the call.
@@ -172,11 +184,17 @@
 
   ReadStatus List();
   ReadStatus Watch();
+  // Passes the first listing on after a watch from its revision.
+  void PublishOldListing();
+  // Lists the current state after an old listing that no watch could update.
+  void DiscardOldListing();
   void QueryPeers();
   void OnStatus(ReadStatus status);
   bool MayPollRelay() const;
-  // Returns whether the relay's view was accepted.
+  // Returns whether a relay's view was accepted.
   bool PollRelay();
+  // The poll began at `started_at`. Returns whether the view is new enough.
+  bool AcceptRelay(ChangeSet set, TimePoint started_at);
   void OnRelayRefused(std::optional<Duration> age);
   void SetSource(ViewSource source, std::optional<Duration> age);
   bool IsRelay() const { return hooks_.is_relay && hooks_.is_relay(); }
@@ -189,6 +207,10 @@
   const StoreReader reader_;
   const Hooks hooks_;
   PartialListing partial_;
+  // A complete listing that may be old. While it is set, watch_revision_ is its
+  // revision and newest_revision_ is 0.
+  std::optional<Listing> old_listing_;
+  bool may_list_old_ = true;      // no old listing has been discarded
   uint64_t watch_revision_ = 0;   // 0 while a listing is needed
   uint64_t newest_revision_ = 0;  // passed to the hooks; 0 before the first
   TimePoint last_peer_query_;
--- a/tests/discovery/relay_fleet_test.cc
+++ b/tests/discovery/relay_fleet_test.cc
@@ -81,6 +81,7 @@
       const auto& f = fleet.faults[index];
       const RelayTiming timing = RelayTimingFor(kBound);
       FollowerOptions options;
+      options.first_listing_may_be_old = true;
       options.watch_wait = seconds(3);
       options.batching_delay = seconds(2);
       options.relay_poll_interval = timing.poll_interval;
@@ -89,7 +90,7 @@
       options.relay_batching_delay = timing.batching_delay;
       options.seed = seed;
       StoreReader reader;
-      reader.list = [&fleet, &f, this](const std::string&, Duration) {
+      reader.list = [&fleet, &f, this](const std::string&, bool, Duration) {
         return fleet.Watch(*this, f, 0, Duration{0});
       };
       reader.watch = [&fleet, &f, this](uint64_t after, Duration wait) {
--- a/tests/discovery/store_follower_test.cc
+++ b/tests/discovery/store_follower_test.cc
@@ -41,8 +41,10 @@
 
   StoreReader Reader() {
     StoreReader reader;
-    reader.list = [this](const std::string& after, Duration timeout) {
+    reader.list = [this](const std::string& after, bool may_be_old,
+                         Duration timeout) {
       listed_after_.push_back(after);
+      listed_old_.push_back(may_be_old);
       timeouts_.push_back(timeout);
       return Next();
     };
@@ -114,6 +116,7 @@
   std::vector<std::pair<size_t, uint64_t>> polls_;  // relay and revision
   std::vector<ViewSource> sources_;
   std::vector<std::string> listed_after_;
+  std::vector<bool> listed_old_;
   std::vector<Duration> timeouts_;
   std::vector<uint64_t> watched_after_;
   std::vector<Duration> waits_;  // of watches
@@ -353,6 +356,7 @@
   Steps(2);
   const size_t relay = polls_.back().first;
   relay_answer_.reset();
+  poll_time_ = milliseconds(500);
   Steps(1);
   EXPECT_EQ(watched_after_, std::vector<uint64_t>{10});
   EXPECT_EQ(waits_, std::vector<Duration>{FollowerOptions().probe_wait});
@@ -368,6 +372,14 @@
   EXPECT_EQ(waits_.back(), FollowerOptions().watch_wait);
 }
 
+TEST_F(StoreFollowerTest, TriesAllRelaysThatRefuseQuickly) {
+  answers_ = {Ok(10), Ok(11)};
+  relay_count_ = 3;
+  Steps(2);
+  EXPECT_EQ(polls_.size(), 3U);
+  EXPECT_EQ(watched_after_, std::vector<uint64_t>{10});
+}
+
 TEST_F(StoreFollowerTest, RejectsARelayWhoseViewIsTooOld) {
   // A relay that was cut off from the store, or suspended after it measured the
   // age of its view, must not make an old view look current.
@@ -436,5 +448,63 @@
   EXPECT_EQ(confirmed_at_, received);
 }
 
+class OldListingTest : public StoreFollowerTest {
+ protected:
+  OldListingTest() : old_(Options(), Reader(), Hooks()) {}
+
+  static FollowerOptions Options() {
+    FollowerOptions options;
+    options.first_listing_may_be_old = true;
+    return options;
+  }
+
+  StoreFollower old_;
+};
+
+TEST_F(OldListingTest, BringsItUpToDateBeforeItIsUsed) {
+  answers_ = {Ok(7, {MakeChange("a", 3)}), Ok(12, {MakeChange("a", 11)})};
+  old_.Step();
+  EXPECT_EQ(listed_old_, std::vector<bool>{true});
+  EXPECT_EQ(watched_after_, std::vector<uint64_t>{7});
+  EXPECT_EQ(waits_, std::vector<Duration>{Options().probe_wait});
+  ASSERT_EQ(listings_.size(), 1U);
+  EXPECT_EQ(listings_[0].revision, 7U);
+  EXPECT_EQ(changes_, 1U);
+}
+
+TEST_F(OldListingTest, IsNotUsedWhenTheHistoryIsGone) {
+  // A target that left while the store dropped its history is in the old
+  // listing, and no watch shows its removal.
+  answers_ = {Ok(7, {MakeChange("a", 3)}), Failed(ReadStatus::kHistoryGone),
+              Ok(60)};
+  old_.Step();
+  EXPECT_TRUE(listings_.empty());
+  old_.Step();
+  EXPECT_EQ(listed_old_, (std::vector<bool>{true, false}));
+  ASSERT_EQ(listings_.size(), 1U);
+  EXPECT_EQ(listings_[0].revision, 60U);
+  EXPECT_TRUE(listings_[0].items.empty());
+}
+
+TEST_F(OldListingTest, IsNotUsedWhenNoWatchSucceeds) {
+  answers_ = {Ok(7, {MakeChange("a", 3)})};
+  old_.Step();
+  EXPECT_TRUE(listings_.empty());
+  EXPECT_EQ(peer_queries_, std::vector<uint64_t>{0});
+  answers_ = {Ok(60)};
+  old_.Step();
+  EXPECT_EQ(listed_old_.back(), false);
+  EXPECT_EQ(listings_.size(), 1U);
+}
+
+TEST_F(OldListingTest, IsNeverUsedByAVmThatKnowsMore) {
+  peer_listing_ = Listing{{MakeChange("a", 3)}, 90};
+  old_.Step();
+  answers_ = {Failed(ReadStatus::kHistoryGone), Ok(95)};
+  old_.Step();
+  old_.Step();
+  EXPECT_EQ(listed_old_, (std::vector<bool>{true, false}));
+}
+
 }  // namespace
 }  // namespace marjoramhall::discovery
--- a/tests/platform/store_api_test.cc
+++ b/tests/platform/store_api_test.cc
@@ -80,7 +80,9 @@
 }
 
 // Returns the result of a listing when the store responds with `body`.
-discovery::StoreRead ListFromBody(const std::string& body) {
+discovery::StoreRead ListFromBody(const std::string& body,
+                                  bool may_be_old = false,
+                                  std::string* request_line = nullptr) {
   asio::io_context io;
   asio::ip::tcp::acceptor acceptor(io,
                                    {asio::ip::make_address_v4("127.0.0.1"), 0});
@@ -88,13 +90,16 @@
     asio::ip::tcp::socket socket = acceptor.accept();
     std::string request;
     asio::read_until(socket, asio::dynamic_buffer(request), "\r\n\r\n");
+    if (request_line != nullptr) {
+      *request_line = request.substr(0, request.find("\r\n"));
+    }
     asio::write(socket,
                 asio::buffer("HTTP/1.1 200 OK\r\nContent-Length: " +
                              std::to_string(body.size()) + "\r\n\r\n" + body));
   });
   StoreApiOptions options;
   options.address = {kAnyPort.address, acceptor.local_endpoint().port()};
-  auto read = StoreApi(options).List("", seconds(5));
+  auto read = StoreApi(options).List("", may_be_old, seconds(5));
   server.join();
   return read;
 }
@@ -106,6 +111,14 @@
   }
 }
 
+TEST(StoreResponseTest, AsksForAnOldListingOnlyWhenToldTo) {
+  std::string request;
+  ListFromBody("{}", true, &request);
+  EXPECT_EQ(request, "GET /v1/kv-range?prefix=&stale_ok=1 HTTP/1.1");
+  ListFromBody("{}", false, &request);
+  EXPECT_EQ(request, "GET /v1/kv-range?prefix= HTTP/1.1");
+}
+
 TEST(StoreResponseTest, ReportsInvalidItemsAndKeepsTheOthers) {
   const auto read = ListFromBody(
       R"({"store_revision":9,"items":[7,{"revision":3},)"
@@ -128,7 +141,7 @@
   std::set<std::string> keys;
   std::string after;
   for (int pages = 0; pages < 10; ++pages) {
-    const auto page = api_->List(after, seconds(1));
+    const auto page = api_->List(after, false, seconds(1));
     ASSERT_EQ(page.status, ReadStatus::kOk);
     for (const auto& it : page.changes) {
       EXPECT_TRUE(it.target) << it.error;
@@ -143,7 +156,7 @@
 }
 
 TEST_F(StoreApiTest, WatchReturnsWritesAndRemovals) {
-  const uint64_t start = api_->List("", seconds(1)).revision;
+  const uint64_t start = api_->List("", false, seconds(1)).revision;
   store_.PutTarget(MakeRecord(7));
   store_.RemoveTarget("i-7");
   const auto read = api_->Watch(start, seconds(1));
@@ -156,22 +169,22 @@
 }
 
 TEST_F(StoreApiTest, DistinguishesCompactedHistoryRefusalAndSilence) {
-  const uint64_t start = api_->List("", seconds(1)).revision;
+  const uint64_t start = api_->List("", false, seconds(1)).revision;
   store_.PutTarget(MakeRecord(7));
   store_.Compact();
   EXPECT_EQ(api_->Watch(start, milliseconds(50)).status,
             ReadStatus::kHistoryGone);
   store_.SetRefusing(true);
-  EXPECT_EQ(api_->List("", seconds(1)).status, ReadStatus::kRefused);
+  EXPECT_EQ(api_->List("", false, seconds(1)).status, ReadStatus::kRefused);
   StoreApiOptions options;
   options.address = {IpAddress::FromV4(0x7f000001), 1};
-  EXPECT_EQ(StoreApi(options).List("", seconds(1)).status,
+  EXPECT_EQ(StoreApi(options).List("", false, seconds(1)).status,
             ReadStatus::kNoAnswer);
 }
 
 TEST_F(StoreApiTest, ReturnsAnUnreadableEntryWithItsError) {
   store_.PutRaw("i-9", std::string("\xff\x00\x01", 3));
-  const auto page = api_->List("", seconds(1));
+  const auto page = api_->List("", false, seconds(1));
   ASSERT_EQ(page.changes.size(), 1U);
   EXPECT_FALSE(page.changes[0].target);
   EXPECT_FALSE(page.changes[0].error.empty());
