Watch the store less while relays start

Change: a view that the store has just confirmed is not confirmed again, and a VM waits for the next poll of a relay when that comes no later than it would after a successful poll.

--- a/src/discovery/store_follower.cc
+++ b/src/discovery/store_follower.cc
@@ -25,7 +25,7 @@
 }
 
 void StoreFollower::Step() {
-  if (MayPollRelay() && PollRelay()) {
+  if (MayPollRelay() && (PollRelay() || AwaitNextPoll())) {
     return;
   }
   OnStatus(watch_revision_ == 0 ? List() : Watch());
@@ -69,7 +69,7 @@
   }
   newest_revision_ = std::max(newest_revision_, watch_revision_);
   hooks_.on_listing({std::move(complete.items), watch_revision_});
-  hooks_.on_confirmed(complete.started_at);
+  Confirm(complete.started_at);
   return ReadStatus::kOk;
 }
 
@@ -112,9 +112,8 @@
     hooks_.on_changes(std::move(read.changes), watch_revision_);
   }
   const TimePoint ended_at = hooks_.now();
-  hooks_.on_confirmed(ended_at - started_at > wait + options_.max_response_time
-                          ? started_at
-                          : ended_at);
+  Confirm(ended_at - started_at > wait + options_.max_response_time ? started_at
+                                                                    : ended_at);
   if (has_changes) {
     hooks_.sleep(is_relay ? options_.relay_batching_delay
                           : options_.batching_delay);
@@ -167,6 +166,16 @@
   }
 }
 
+bool StoreFollower::AwaitNextPoll() {
+  const TimePoint now = hooks_.now();
+  if (next_relay_poll_at_ <= now ||
+      next_relay_poll_at_ - confirmed_at_ > options_.relay_poll_interval) {
+    return false;
+  }
+  hooks_.sleep(next_relay_poll_at_ - now);
+  return true;
+}
+
 bool StoreFollower::AcceptRelay(ChangeSet set, TimePoint started_at) {
   // The relay may have been suspended after it measured the age.
   const TimePoint confirmed_at = started_at - set.age;
@@ -189,14 +198,15 @@
       hooks_.on_changes(std::move(set.changes), set.revision);
     }
   }
-  hooks_.on_confirmed(confirmed_at);
+  Confirm(confirmed_at);
   hooks_.sleep(options_.relay_poll_interval);
   return true;
 }
 
 void StoreFollower::OnRelayRefused(std::optional<Duration> age) {
-  // The view may have become old meanwhile.
-  is_store_current_ = false;
+  if (hooks_.now() - confirmed_at_ > options_.relay_poll_interval) {
+    is_store_current_ = false;
+  }
   SetSource(ViewSource::kStore, age);
   ++relay_choice_;
   if (++refusals_ % std::max(reader_.relay_count(), size_t{1}) == 0) {
@@ -207,6 +217,11 @@
   }
 }
 
+void StoreFollower::Confirm(TimePoint at) {
+  confirmed_at_ = at;
+  hooks_.on_confirmed(at);
+}
+
 void StoreFollower::SetSource(ViewSource source, std::optional<Duration> age) {
   if (source != source_) {
     source_ = source;
--- a/src/discovery/store_follower.h
+++ b/src/discovery/store_follower.h
@@ -193,10 +193,14 @@
   bool MayPollRelay() const;
   // Returns whether a relay's view was accepted.
   bool PollRelay();
+  // Waits for the next poll if that is no later than if a relay had answered
+  // when the view was confirmed. Returns whether it waited.
+  bool AwaitNextPoll();
   // The poll began at `started_at`. Returns whether the view is new enough.
   bool AcceptRelay(ChangeSet set, TimePoint started_at);
   void OnRelayRefused(std::optional<Duration> age);
   void SetSource(ViewSource source, std::optional<Duration> age);
+  void Confirm(TimePoint at);
   bool IsRelay() const { return hooks_.is_relay && hooks_.is_relay(); }
   // Doubles a delay within bounds and returns it with its random part
   // subtracted.
@@ -217,7 +221,8 @@
   Duration retry_delay_{0};  // 0 after a successful call
   bool reachable_ = false;
   bool has_listed_ = false;  // List() has been called
-  // The last call was a successful one of the store. A watch may then wait.
+  TimePoint confirmed_at_;
+  // The last call of the store succeeded and is recent. A watch may then wait.
   bool is_store_current_ = false;
   ViewSource source_ = ViewSource::kStore;
   size_t relay_choice_ = 0;
--- a/tests/discovery/store_follower_test.cc
+++ b/tests/discovery/store_follower_test.cc
@@ -380,6 +380,23 @@
   EXPECT_EQ(watched_after_, std::vector<uint64_t>{10});
 }
 
+TEST_F(StoreFollowerTest, AwaitsRelaysThatStartTogetherWithThisVm) {
+  // The relays refuse until enough VMs have announced themselves. Hundreds of
+  // watches in the meantime would show nothing that is not known already.
+  FollowerOptions options;
+  options.relay_poll_interval = seconds(1);
+  StoreFollower follower(options, Reader(), Hooks());
+  answers_ = {Ok(10), Ok(10)};
+  relay_count_ = 3;
+  follower.Step();
+  follower.Step();
+  EXPECT_TRUE(watched_after_.empty());
+  relay_answer_ = MakeSet(10);
+  follower.Step();
+  EXPECT_EQ(sources_, std::vector<ViewSource>{ViewSource::kRelay});
+  EXPECT_TRUE(watched_after_.empty());
+}
+
 TEST_F(StoreFollowerTest, RejectsARelayWhoseViewIsTooOld) {
   // A relay that was cut off from the store, or suspended after it measured the
   // age of its view, must not make an old view look current.
