Avoid targets that fail requests at once

A VM can't read responses; such a target never has requests in progress, so that placement by least outstanding requests sent it 2.4 times the mean.

Ruled out: counting such a request as outstanding for the usual time, which only takes the preference away; reading the time of the whole response, since errors differ from quick normal responses only by the round trip.

Change: the handshake takes the same way as a request but contains no work, so the difference to the response time is the work. A target whose work took less than a tenth of what its route usually takes is avoided for 5 s, doubling up to 20 s, by this VM. At most a quarter of a service is avoided; if more is, the route has probably become faster, which the usual time follows. Routes with less than 10 ms of work are not judged.

The simulation of overload gets targets that fail at once. Its handshake took three one-way delays between VM and request, the response two; both are two now (a target is near its VM, as on the platform), so that the difference is the work. All its bounds stay.

--- a/src/forward/flow_tracker.h
+++ b/src/forward/flow_tracker.h
@@ -41,6 +41,8 @@
   TimePoint added_at;
   TimePoint last_syn_at;
   TimePoint request_started_at;
+  // From the SYN to the next packet of the flow. 0 if this VM did not see both.
+  Duration handshake{0};
   Duration overdue_after = kTrackedFlowTimeout;  // of the request in progress
   // Acknowledgment number of the request's first packet. The number changes
   // when the client has received the start of the response.
--- a/src/forward/forwarder.cc
+++ b/src/forward/forwarder.cc
@@ -31,7 +31,8 @@
     : hooks_(std::move(hooks)),
       picker_(options.picker, options.seed),
       admission_(options.admission),
-      flows_(options.max_tracked_flows) {}
+      flows_(options.max_tracked_flows),
+      quick_failures_(options.quick_failure) {}
 
 void Forwarder::OnView(ViewPtr view) {
   view_ = std::move(view);
@@ -273,22 +274,29 @@
     ++entry->unanswered_syns;
     if (entry->unanswered_syns == kSuspectThreshold) {
       entry->last_probe_at = now;
-      if (!hooks_.may_log(true, now)) {
-        return;
-      }
-      Decision decision;
-      decision.kind = DecisionKind::kTargetHealth;
-      decision.service = entry->target.service;
-      decision.target = TargetId{static_cast<uint32_t>(entry->target.token)};
-      decision.revision = view_->config_version;
-      decision.outcome = "suspect";
-      decision.reason = NameOf(Reason::kUnanswered);
-      decision.detail = entry->target.id;
-      hooks_.log_decision(decision);
+      LogTargetHealth(*entry, "suspect", Reason::kUnanswered, now);
     }
   }
 }
 
+void Forwarder::LogTargetHealth(const TargetEntry& entry,
+                                std::string_view outcome,
+                                Reason reason,
+                                TimePoint now) {
+  if (!hooks_.may_log(true, now)) {
+    return;
+  }
+  Decision decision;
+  decision.kind = DecisionKind::kTargetHealth;
+  decision.service = entry.target.service;
+  decision.target = TargetId{static_cast<uint32_t>(entry.target.token)};
+  decision.revision = view_->config_version;
+  decision.outcome = outcome;
+  decision.reason = NameOf(reason);
+  decision.detail = entry.target.id;
+  hooks_.log_decision(decision);
+}
+
 void Forwarder::ResendSyn(const FlowKey& key,
                           TrackedFlow& flow,
                           TimePoint now) {
@@ -340,7 +348,10 @@
     ++counters_.answered_syns;
     entry.unanswered_syns = 0;
     entry.last_answer_at = now;
-    if (flow->token != header.token) {
+    if (flow->token == header.token) {
+      flow->handshake = now - flow->last_syn_at;
+      quick_failures_.OnHandshake(flow->route_key, flow->handshake);
+    } else {
       ReleaseRequest(*flow);
       flow->token = header.token;
       ++entry.outstanding_requests;
@@ -394,6 +405,7 @@
         std::max(kMinRelativeLatency,
                  entry->relative_latency +
                      kTargetSmoothing * (ratio - entry->relative_latency));
+    CheckForQuickFailure(flow, *entry, now);
   }
   if (flow.phase != FlowPhase::kRequestOverdue) {
     ReportResponseTime(flow, now);
@@ -402,6 +414,18 @@
   flow.phase = FlowPhase::kResponded;
 }
 
+void Forwarder::CheckForQuickFailure(const TrackedFlow& flow,
+                                     TargetEntry& entry,
+                                     TimePoint now) {
+  if (flow.handshake == Duration{0}) {
+    return;  // the time of the work is unknown
+  }
+  if (quick_failures_.OnResponse(flow.route_key, flow.handshake,
+                                 now - flow.request_started_at, entry, now)) {
+    LogTargetHealth(entry, "avoided", Reason::kQuickResponse, now);
+  }
+}
+
 void Forwarder::ReportResponseTime(const TrackedFlow& flow, TimePoint now) {
   if (resuming_ || flow.request_started_at < resumed_at_) {
     return;  // the time includes a suspension of this VM
--- a/src/forward/forwarder.h
+++ b/src/forward/forwarder.h
@@ -15,6 +15,7 @@
 #include "src/forward/admission.h"
 #include "src/forward/flow_tracker.h"
 #include "src/forward/packet.h"
+#include "src/forward/quick_failure.h"
 #include "src/forward/target_picker.h"
 #include "src/forward/target_table.h"
 #include "src/forward/view.h"
@@ -35,6 +36,7 @@
   kDuplicateSyn,        // retransmitted SYN of a flow that is already open
   kStaleSyn,            // the SYN waited while this VM was suspended
   kUnanswered,          // the target did not answer the SYN
+  kQuickResponse,       // the target responds without doing the usual work
   kCount,
 };
 inline constexpr EnumName<Reason> kReasonNames[] = {
@@ -48,6 +50,7 @@
     {Reason::kDuplicateSyn, "late-copy"},
     {Reason::kStaleSyn, "stale-opening"},
     {Reason::kUnanswered, "unanswered"},
+    {Reason::kQuickResponse, "quick-response"},
 };
 constexpr std::span<const EnumName<Reason>> NamesOf(Reason) {
   return kReasonNames;
@@ -73,6 +76,7 @@
 struct ForwarderOptions {
   PickerOptions picker;
   AdmissionOptions admission;
+  QuickFailureOptions quick_failure;
   size_t max_tracked_flows = 16'384;
   uint64_t seed = 1;
 };
@@ -151,6 +155,14 @@
   void OnResponse(TrackedFlow& flow, TimePoint now);
   // Passes the time that a request took, or has taken so far, to admission
   // control.
+  // Avoids a target that responded without doing the usual work.
+  void CheckForQuickFailure(const TrackedFlow& flow,
+                            TargetEntry& entry,
+                            TimePoint now);
+  void LogTargetHealth(const TargetEntry& entry,
+                       std::string_view outcome,
+                       Reason reason,
+                       TimePoint now);
   void ReportResponseTime(const TrackedFlow& flow, TimePoint now);
   // Stops counting the flow's request as outstanding.
   void ReleaseRequest(const TrackedFlow& flow);
@@ -174,6 +186,7 @@
   FlowTracker flows_;
   // Smoothed response time by route key.
   std::unordered_map<uint64_t, double> route_response_us_;
+  QuickFailureDetector quick_failures_;
   ForwardCounters counters_;
 };
 
--- a/src/forward/target_picker.cc
+++ b/src/forward/target_picker.cc
@@ -26,6 +26,28 @@
              : Tier::kUsable;
 }
 
+// The best target of those that were offered. Of several equally good ones each
+// has the same chance.
+struct BestTarget {
+  TargetEntry* entry = nullptr;
+  Tier tier = Tier::kTried;
+  double load = 0;
+  uint32_t ties = 0;
+
+  void Offer(TargetEntry* other,
+             Tier other_tier,
+             double other_load,
+             TargetPicker& picker) {
+    if (entry == nullptr || other_tier < tier ||
+        (other_tier == tier && other_load < load)) {
+      *this = {other, other_tier, other_load, 1};
+    } else if (other_tier == tier && other_load == load &&
+               picker.Random(++ties) == 0) {
+      entry = other;
+    }
+  }
+};
+
 }  // namespace
 
 uint32_t TargetPicker::Random(uint32_t bound) {
@@ -49,26 +71,30 @@
                                 ServiceId service,
                                 const PickConstraints& constraints,
                                 TimePoint now) {
-  TargetEntry* best = nullptr;
-  Tier best_tier = Tier::kTried;
-  double best_load = 0;
-  uint32_t ties = 0;
+  BestTarget best_of_all;
+  BestTarget best_of_working;
+  size_t candidates = 0;
+  size_t avoided = 0;
   for (TargetEntry* it : table.TargetsOf(service)) {
     if (!TakesNewFlows(it->target.state)) {
       continue;
     }
+    ++candidates;
     const Tier tier = TierOf(*it, constraints, now);
     const double load = LoadOf(*it, now);
-    if (best == nullptr || tier < best_tier ||
-        (tier == best_tier && load < best_load)) {
-      best = it;
-      best_tier = tier;
-      best_load = load;
-      ties = 1;
-    } else if (tier == best_tier && load == best_load && Random(++ties) == 0) {
-      best = it;
+    best_of_all.Offer(it, tier, load, *this);
+    if (now < it->avoided_until) {
+      ++avoided;
+    } else {
+      best_of_working.Offer(it, tier, load, *this);
     }
   }
+  const bool avoid =
+      avoided > 0 && best_of_working.entry != nullptr &&
+      best_of_working.tier <= Tier::kOtherDomain &&
+      static_cast<double>(avoided) <=
+          options_.max_avoided_fraction * static_cast<double>(candidates);
+  TargetEntry* best = avoid ? best_of_working.entry : best_of_all.entry;
   if (best != nullptr && best->IsSuspect()) {
     best->last_probe_at = now;
   }
--- a/src/forward/target_picker.h
+++ b/src/forward/target_picker.h
@@ -2,8 +2,8 @@
 // VM knows, with a preference for the VM's own failure domain.
 //
 // It is designed for Poisson arrivals that the network spreads over several
-// VMs, for targets with few slots and a short queue, and for work times with a
-// long tail.
+// VMs, for targets with few slots and a short queue, for work times with a long
+// tail, and for targets that fail requests at once while others work.
 #ifndef MARJORAMHALL_FORWARD_TARGET_PICKER_H_
 #define MARJORAMHALL_FORWARD_TARGET_PICKER_H_
 
@@ -21,6 +21,9 @@
   double other_domain_penalty = 0.34;
   // Speed of a target that has just started, relative to its usual speed.
   double warm_up_speed = 0.6;
+  // Targets that fail requests at once are avoided only while they are at most
+  // this fraction of the service: the others could not serve all of the load.
+  double max_avoided_fraction = 0.25;
 };
 
 struct PickConstraints {
--- a/src/forward/target_table.h
+++ b/src/forward/target_table.h
@@ -32,6 +32,10 @@
   // Smoothed ratio of the response time to the average of the same route. 1 is
   // normal.
   double relative_latency = 1.0;
+  // The target fails requests at once (QuickFailureDetector) and gets new flows
+  // again after this time. The next avoidance is twice as long.
+  TimePoint avoided_until;
+  Duration avoidance{0};
 
   bool IsSuspect() const { return unanswered_syns >= kSuspectThreshold; }
 };
--- a/tests/forward/overload_simulation.cc
+++ b/tests/forward/overload_simulation.cc
@@ -16,10 +16,13 @@
 constexpr ServiceId kService{1};
 constexpr uint32_t kAddress = 0xc6120001;
 constexpr uint16_t kFirstPort = 443;
-// One way between a VM and a client or target.
+// One way between a client and a VM or target. The way between a VM and a
+// target takes less than a millisecond.
 constexpr Duration kOneWayDelay = std::chrono::microseconds(3500);
 // Delay of a client between a failure and the next attempt.
 constexpr Duration kRetryDelay = milliseconds(30);
+// Time in which a failing target responds.
+constexpr Duration kErrorDelay = milliseconds(1);
 // Retransmission timeout of a packet that was not acknowledged.
 constexpr Duration kRetransmitDelay = milliseconds(200);
 // Times of a client's SYN retransmissions and of the end of the attempt, since
@@ -44,6 +47,8 @@
   refused += other.refused;
   reset_after_open += other.reset_after_open;
   unanswered += other.unanswered;
+  errors += other.errors;
+  ended_by_error += other.ended_by_error;
   return *this;
 }
 
@@ -119,7 +124,10 @@
     const TimePoint to = from + options_.phases[phase].duration;
     Schedule(from, [this, phase] {
       for (size_t i = 0; i < targets_.size(); ++i) {
-        targets_[i].dead = i < options_.phases[phase].dead_targets;
+        const LoadPhase& it = options_.phases[phase];
+        targets_[i].dead = i < it.dead_targets;
+        targets_[i].failing =
+            !targets_[i].dead && i < it.dead_targets + it.failing_targets;
       }
       ideal_queue_down_ = options_.phases[phase].vms_down;
       if (ideal_queue_down_) {
@@ -202,7 +210,7 @@
 void OverloadSimulation::RunIdealQueue() {
   uint32_t slots = 0;
   for (const TargetModel& it : targets_) {
-    slots += it.dead ? 0 : options_.slots_per_target;
+    slots += it.dead || it.failing ? 0 : options_.slots_per_target;
   }
   for (auto& [priority, queue] : ideal_queues_) {
     while (!queue.empty() && ideal_running_ < slots) {
@@ -260,7 +268,7 @@
     if (options_.ideal_queue) {
       if (!ideal_queue_down_ && !request->opened) {
         request->opened = true;
-        Schedule(now_ + 3 * kOneWayDelay, [this, request] {
+        Schedule(now_ + 2 * kOneWayDelay, [this, request] {
           ideal_queues_[options_.classes[request->class_index].priority]
               .push_back(request);
           RunIdealQueue();
@@ -281,8 +289,9 @@
         vms_[request->vm]->OnPacket(header, bytes, now_);
     if (verdict.action == PacketAction::kReset) {
       request->refused = true;
-      Schedule(now_ + kOneWayDelay,
-               [this, request] { RetryOrFail(request, false); });
+      Schedule(now_ + kOneWayDelay, [this, request] {
+        RetryOrFail(request, false, &ClassResult::refused);
+      });
     } else if (verdict.action == PacketAction::kForward) {
       DeliverSyn(request, static_cast<size_t>(verdict.target->token) - 1);
     }
@@ -299,7 +308,7 @@
         if (retransmit_count < 2) {
           SendSyn(request, retransmit_count + 1);
         } else {
-          RetryOrFail(request, false);
+          RetryOrFail(request, false, &ClassResult::refused);
         }
       });
 }
@@ -315,8 +324,8 @@
   if (targets_[target].dead) {
     return;  // the VM resends the SYN
   }
-  // The handshake, followed by the request.
-  Schedule(now_ + 3 * kOneWayDelay, [this, request, target] {
+  // The handshake passes the client and is followed by the request.
+  Schedule(now_ + 2 * kOneWayDelay, [this, request, target] {
     if (request->opened) {
       return;
     }
@@ -340,13 +349,18 @@
   if (it.dead) {
     return;
   }
+  if (it.failing) {
+    Schedule(now_ + kErrorDelay, [this, request] { Respond(request, true); });
+    return;
+  }
   if (it.running < options_.slots_per_target) {
     StartWork(request, it);
   } else if (it.waiting.size() < options_.queue_per_target) {
     it.waiting.push_back(request);
   } else {
-    Schedule(now_ + kOneWayDelay,
-             [this, request] { RetryOrFail(request, true); });
+    Schedule(now_ + kOneWayDelay, [this, request] {
+      RetryOrFail(request, true, &ClassResult::reset_after_open);
+    });
   }
 }
 
@@ -363,29 +377,39 @@
     target.waiting.pop_front();
     StartWork(next, target);
   }
-  if (target.dead) {
-    return;
+  if (!target.dead) {
+    Respond(request, false);
   }
+}
+
+void OverloadSimulation::Respond(Request* request, bool error) {
   const bool lost = RandomEvent(options_.phases[request->phase].response_loss);
   Schedule(now_ + kOneWayDelay + (lost ? kRetransmitDelay : Duration{0}),
-           [this, request] {
-             OnResponse(request);
-             Schedule(now_ + kOneWayDelay, [this, request] {
-               PacketHeader last;
-               last.flow = request->flow;
-               last.ack = true;
-               last.fin = true;
-               last.token =
-                   TargetToken{static_cast<uint32_t>(request->target + 1)};
-               last.acknowledged = 1000;
-               if (vms_[request->vm] != nullptr) {
-                 vms_[request->vm]->OnPacket(last, {}, now_);
+           [this, request, error] {
+             PacketHeader last;
+             last.flow = request->flow;
+             last.ack = true;
+             last.fin = true;
+             last.token =
+                 TargetToken{static_cast<uint32_t>(request->target + 1)};
+             last.acknowledged = 1000;
+             Schedule(now_ + kOneWayDelay, [this, last, vm = request->vm] {
+               if (vms_[vm] != nullptr) {
+                 vms_[vm]->OnPacket(last, {}, now_);
                }
              });
+             if (error) {
+               ++ResultOf(*request).errors;
+               RetryOrFail(request, true, &ClassResult::ended_by_error);
+             } else {
+               OnResponse(request);
+             }
            });
 }
 
-void OverloadSimulation::RetryOrFail(Request* request, bool opened) {
+void OverloadSimulation::RetryOrFail(Request* request,
+                                     bool opened,
+                                     uint64_t ClassResult::*count) {
   const RequestClass& request_class = options_.classes[request->class_index];
   const bool allowed =
       !opened || request_class.idempotency == Idempotency::kIdempotent;
@@ -396,8 +420,7 @@
     return;
   }
   request->done = true;
-  ClassResult& result = ResultOf(*request);
-  ++(opened ? result.reset_after_open : result.refused);
+  ++(ResultOf(*request).*count);
 }
 
 }  // namespace marjoramhall::forward
--- a/tests/forward/overload_simulation.h
+++ b/tests/forward/overload_simulation.h
@@ -1,6 +1,7 @@
 // Simulates clients, VMs and targets in virtual time, for loads above the
-// capacity of a service. It reports what the clients get, and can replace the
-// VMs and targets by one ideal central queue for comparison.
+// capacity of a service, and for targets that do not work. It reports what the
+// clients get, and can replace the VMs and targets by one ideal central queue
+// for comparison.
 #ifndef MARJORAMHALL_TESTS_FORWARD_OVERLOAD_SIMULATION_H_
 #define MARJORAMHALL_TESTS_FORWARD_OVERLOAD_SIMULATION_H_
 
@@ -34,6 +35,8 @@
   double load_factor = 1;
   Duration duration{0};
   size_t dead_targets = 0;  // the first ones; they do not answer
+  // The next ones. They respond to each request at once, with an error.
+  size_t failing_targets = 0;
   // No VM takes packets. The VMs restart when the phase ends, one after the
   // other within kVmStartSpread.
   bool vms_down = false;
@@ -66,6 +69,8 @@
   uint64_t refused = 0;           // by a VM, at the last attempt
   uint64_t reset_after_open = 0;  // by a full target
   uint64_t unanswered = 0;
+  uint64_t errors = 0;          // responses of failing targets, at any attempt
+  uint64_t ended_by_error = 0;  // at the last attempt
 
   double ValueRatio() const {
     return possible_value == 0 ? 1.0 : earned_value / possible_value;
@@ -105,6 +110,7 @@
     uint32_t running = 0;
     std::deque<Request*> waiting;
     bool dead = false;
+    bool failing = false;
   };
   struct Event {
     TimePoint at;
@@ -131,8 +137,11 @@
   void OnRequestAtTarget(Request* request, size_t target);
   void StartWork(Request* request, TargetModel& target);
   void FinishWork(Request* request);
-  // `opened`: the flow was open when the attempt failed.
-  void RetryOrFail(Request* request, bool opened);
+  // Sends the response. `error`: the target has failed the request.
+  void Respond(Request* request, bool error);
+  // `opened`: the flow was open when the attempt failed. `count` is increased
+  // if it was the last attempt.
+  void RetryOrFail(Request* request, bool opened, uint64_t ClassResult::*count);
   void RunIdealQueue();
   void OnResponse(Request* request);
 
--- a/tests/forward/overload_simulation_test.cc
+++ b/tests/forward/overload_simulation_test.cc
@@ -177,5 +177,26 @@
   }
 }
 
+TEST(OverloadSimulationTest, FailingTargetsGetNoMoreThanTheirShare) {
+  // A tenth of the targets respond with errors at once. They never have
+  // requests in progress, so placement by load alone prefers them.
+  for (SimulationOptions options :
+       {LongRequests(), ShortRequests(), LargeDeployment()}) {
+    options.targets = options.targets / 10 * 10;
+    const size_t failing = options.targets / 10;
+    options.phases = {{1, seconds(5)}, {1, seconds(5)}, {1, seconds(15)}};
+    options.phases[1].failing_targets = failing;
+    options.phases[2].failing_targets = failing;
+    const std::vector<PhaseResult> results = RunAllSeeds(options);
+    for (size_t phase : {1, 2}) {
+      const ClassResult sum = results[phase].Sum();
+      EXPECT_LE(sum.errors * 10, sum.requests + sum.errors) << phase;
+      EXPECT_EQ(sum.refused, 0U);
+    }
+    EXPECT_GE(results[2].Sum().ValueRatio(),
+              kMinFractionOfIdeal * results[0].Sum().ValueRatio());
+  }
+}
+
 }  // namespace
 }  // namespace marjoramhall::forward
