Do not end a listing at a response that belongs to another call

Cause (looked for after other operators' report of a second, late copy of an answer on a connection that was in use again): a page that says that more follow but does not lead further ended the listing. A late second copy of the page before does that, and the targets of the pages left out then counted as removed.

Change: such a page is unreadable, and the listing starts over. The test fails on the code before. A copy that arrives before the next call closes the connection already (HttpClient).

--- a/src/discovery/store_follower.cc
+++ b/src/discovery/store_follower.cc
@@ -49,6 +49,11 @@
     if (page.status != ReadStatus::kOk) {
       return page.status;
     }
+    if (page.has_more && page.last_key <= partial_.after) {
+      // The response belongs to another call.
+      partial_ = PartialListing{};
+      return ReadStatus::kUnreadable;
+    }
     std::move(page.changes.begin(), page.changes.end(),
               std::back_inserter(partial_.items));
     // The pages may show different revisions. The watch starts at the first, so
@@ -56,7 +61,7 @@
     if (partial_.first_revision == 0) {
       partial_.first_revision = page.revision;
     }
-    if (!page.has_more || page.last_key <= partial_.after) {
+    if (!page.has_more) {
       break;
     }
     partial_.after = page.last_key;
--- a/tests/discovery/store_follower_test.cc
+++ b/tests/discovery/store_follower_test.cc
@@ -161,6 +161,25 @@
   EXPECT_EQ(watched_after_, (std::vector<uint64_t>{10}));
 }
 
+TEST_F(StoreFollowerTest, ARepeatedPageDoesNotEndAListing) {
+  // A second copy of the response to the page before arrives late, on the
+  // connection that is in use again. The targets of the next page must not be
+  // taken for removed.
+  StoreRead first = Ok(10, {MakeChange("a", 3)});
+  first.has_more = true;
+  first.last_key = std::string("a");
+  answers_ = {first, first};
+  Steps(1);
+  EXPECT_TRUE(listings_.empty());
+  StoreRead second = Ok(10, {MakeChange("b", 4)});
+  second.last_key = std::string("b");
+  answers_ = {first, second};
+  Steps(1);
+  EXPECT_EQ(listed_after_, (std::vector<std::string>{"", "a", "", "a"}));
+  ASSERT_EQ(listings_.size(), 1U);
+  EXPECT_EQ(listings_[0].items.size(), 2U);
+}
+
 TEST_F(StoreFollowerTest, ListsAgainWhenTheHistoryIsGone) {
   answers_ = {Ok(10), Failed(ReadStatus::kHistoryGone), Ok(50), Ok(50)};
   Steps(4);
