Tell clients early that their flow's target is gone

Cause: a request on an open flow to a target that has ended waits for its whole deadline, although the store has removed the target's entry.

Ruled out: a reset when the entry is missing, since a target that only lost the store works on; a reset on silence alone, since a target that was suspended goes on with its work; a reset for requests that must not run twice, whose client could not try again.

Change: an open flow of an idempotent route is reset when the store has said that its target has left or ended (removed and missing for two seconds, left after a drain, or its address taken by a later target), and the client sends the first packet of the same request again after half a second: a target that works has acknowledged it by then. The reset carries the number that the client has acknowledged.

--- a/src/discovery/target_registry.cc
+++ b/src/discovery/target_registry.cc
@@ -105,9 +105,9 @@
     entry.revision = change.revision;
     const TargetState before = entry.state;
     if (!change.removed) {
-      Retire(entry, "unreadable", now);
+      Retire(entry, false, "unreadable", now);
     } else if (before == TargetState::kDraining) {
-      Retire(entry, "left", now);
+      Retire(entry, true, "left", now);
     } else if (before == TargetState::kActive) {
       SetState(entry, TargetState::kLapsed, "entry-vanished", now);
     }
@@ -150,7 +150,7 @@
 void TargetRegistry::RetireFormerUsers(const Entry& user, TimePoint now) {
   for (Entry* it : by_address_.at(user.record.address)) {
     if (it != &user && it->record.start_time_ms <= user.record.start_time_ms) {
-      Retire(*it, "address-reused", now);
+      Retire(*it, true, "address-reused", now);
     }
   }
 }
@@ -173,9 +173,11 @@
 }
 
 void TargetRegistry::Retire(Entry& entry,
+                            bool gone,
                             std::string_view reason,
                             TimePoint now) {
   if (entry.state != TargetState::kRetired) {
+    entry.gone = gone;
     SetState(entry, TargetState::kRetired, reason, now);
   }
 }
@@ -224,7 +226,7 @@
     Entry& entry = it->second;
     if (entry.state == TargetState::kLapsed &&
         now - entry.state_changed_at >= options_.lapse_grace_period) {
-      Retire(entry, "entry-stayed-away", now);
+      Retire(entry, true, "entry-stayed-away", now);
       changed = true;
     }
     if (entry.state == TargetState::kRetired &&
@@ -284,6 +286,7 @@
         entry.record.failure_domain == options_.failure_domain;
     target.slots = std::max(entry.record.slots, uint32_t{1});
     target.state = entry.state;
+    target.gone = entry.state == TargetState::kRetired && entry.gone;
     target.warm_up_until = entry.warm_up_until;
     view->targets.push_back(std::move(target));
   }
--- a/src/discovery/target_registry.h
+++ b/src/discovery/target_registry.h
@@ -65,6 +65,7 @@
     TargetRecord record;
     forward::TargetState state = forward::TargetState::kActive;
     uint64_t revision = 0;
+    bool gone = false;  // while retired: it has left or ended
     TimePoint warm_up_until;
     TimePoint state_changed_at;
   };
@@ -76,7 +77,8 @@
                 forward::TargetState state,
                 std::string_view reason,
                 TimePoint now);
-  void Retire(Entry& entry, std::string_view reason, TimePoint now);
+  // `gone`: the target has left or ended.
+  void Retire(Entry& entry, bool gone, std::string_view reason, TimePoint now);
   // Keep by_address_ and by_token_ consistent with an entry's record.
   void AddToIndexes(Entry& entry);
   void RemoveFromIndexes(Entry& entry);
--- a/src/forward/flow_tracker.h
+++ b/src/forward/flow_tracker.h
@@ -44,6 +44,7 @@
   // From the SYN to the next packet of the flow. 0 if this VM did not see both.
   Duration handshake{0};
   Duration overdue_after = kTrackedFlowTimeout;  // of the request in progress
+  uint32_t request_sequence = 0;  // of the request's first packet
   // Acknowledgment number of the request's first packet. The number changes
   // when the client has received the start of the response.
   uint32_t request_acknowledged = 0;
--- a/src/forward/forwarder.cc
+++ b/src/forward/forwarder.cc
@@ -6,8 +6,6 @@
 #include <cstring>
 #include <utility>
 
-#include "src/base/endpoint.h"
-
 namespace marjoramhall::forward {
 namespace {
 
@@ -18,6 +16,9 @@
 // retransmit a SYN after 200 ms, possibly through another VM. Without a
 // suspension the gaps are at most 20 ms long.
 constexpr Duration kStaleSynGap = std::chrono::milliseconds(200);
+// A client retransmits after 200 ms and 600 ms. A target that works has
+// acknowledged the packet by the second time.
+constexpr Duration kAbandonedAfter = std::chrono::milliseconds(500);
 // Weights of a new response time in the smoothed values.
 constexpr double kTargetSmoothing = 0.15;
 constexpr double kRouteSmoothing = 0.02;
@@ -59,54 +60,6 @@
   return header.syn ? OnSyn(header, datagram, now) : OnNonSyn(header, now);
 }
 
-PacketVerdict Forwarder::Refuse(const PacketHeader& header,
-                                Reason reason,
-                                TimePoint now) {
-  ++counters_.refused[static_cast<size_t>(reason)];
-  PacketVerdict verdict;
-  verdict.reason = reason;
-  // Only the first SYN of a flow is answered with a reset. After any other
-  // packet the flow may be open at a live target, through another VM with
-  // another view.
-  if (header.syn && header.acknowledged == 0 &&
-      (reason == Reason::kNoRoute || reason == Reason::kNoTarget ||
-       reason == Reason::kOverload)) {
-    verdict.action = PacketAction::kReset;
-  }
-  if (!hooks_.may_log(true, now)) {
-    return verdict;
-  }
-  const bool reset = verdict.action == PacketAction::kReset;
-  std::string detail = DescribeFlow(header.flow, now);
-  if (reason == Reason::kOverload) {
-    detail += DescribeLoad(header.flow);
-  }
-  Decision decision;
-  decision.kind =
-      reset ? DecisionKind::kRefuseRequest : DecisionKind::kDropPacket;
-  decision.subject = HashOf(header.flow);
-  decision.target = TargetId{static_cast<uint32_t>(header.token)};
-  decision.revision = view_ == nullptr ? 0 : view_->config_version;
-  decision.outcome = reset ? "reset" : "dropped";
-  decision.reason = NameOf(reason);
-  decision.detail = detail;
-  hooks_.log_decision(decision);
-  return verdict;
-}
-
-std::string Forwarder::DescribeFlow(const FlowKey& key, TimePoint now) const {
-  const Endpoint client{IpAddress::FromV4(key.client_address), key.client_port};
-  const Endpoint service{IpAddress::FromV4(key.service_address),
-                         key.service_port};
-  std::string text = client.ToString() + " to " + service.ToString();
-  if (view_ != nullptr) {
-    const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(
-        now - view_confirmed_at_);
-    text += ", view confirmed " + std::to_string(age.count()) + " ms ago";
-  }
-  return text;
-}
-
 ServiceId Forwarder::SelectService(const Route& route,
                                    const FlowKey& key) const {
   uint64_t total = 0;
@@ -189,19 +142,6 @@
   return n;
 }
 
-std::string Forwarder::DescribeLoad(const FlowKey& key) const {
-  const auto route =
-      view_->routes.find(RouteKeyOf(key.service_address, key.service_port));
-  if (route == view_->routes.end()) {
-    return "";
-  }
-  const ServiceId service = SelectService(route->second, key);
-  return ", " + std::to_string(RequestsInProgress(service)) +
-         " requests of this VM in progress, limit " +
-         std::to_string(static_cast<uint32_t>(
-             admission_.CurrentLimitFor(service, route->second)));
-}
-
 TargetEntry* Forwarder::AssignTarget(const FlowKey& key,
                                      TrackedFlow& flow,
                                      TimePoint now) {
@@ -242,29 +182,6 @@
   return entry;
 }
 
-void Forwarder::LogAssignment(const FlowKey& key,
-                              const TrackedFlow& flow,
-                              const TargetEntry& entry,
-                              TimePoint now) {
-  const bool first = flow.attempts == 1;
-  if (!hooks_.may_log(!first, now)) {
-    return;
-  }
-  const std::string detail = entry.target.id + " with " +
-                             std::to_string(entry.outstanding_requests) +
-                             " requests of this VM, " + DescribeFlow(key, now);
-  Decision decision;
-  decision.kind = DecisionKind::kRouteFlow;
-  decision.subject = HashOf(key);
-  decision.service = entry.target.service;
-  decision.target = TargetId{static_cast<uint32_t>(entry.target.token)};
-  decision.revision = view_->config_version;
-  decision.outcome = first ? "placed" : "repeated";
-  decision.reason = first ? "least-loaded" : NameOf(Reason::kUnanswered);
-  decision.detail = detail;
-  hooks_.log_decision(decision);
-}
-
 void Forwarder::CountUnansweredSyn(const TrackedFlow& flow, TimePoint now) {
   if (now - flow.last_syn_at < kSynAnswerTimeout) {
     return;
@@ -279,24 +196,6 @@
   }
 }
 
-void Forwarder::LogTargetHealth(const TargetEntry& entry,
-                                std::string_view outcome,
-                                Reason reason,
-                                TimePoint now) {
-  if (!hooks_.may_log(true, now)) {
-    return;
-  }
-  Decision decision;
-  decision.kind = DecisionKind::kTargetHealth;
-  decision.service = entry.target.service;
-  decision.target = TargetId{static_cast<uint32_t>(entry.target.token)};
-  decision.revision = view_->config_version;
-  decision.outcome = outcome;
-  decision.reason = NameOf(reason);
-  decision.detail = entry.target.id;
-  hooks_.log_decision(decision);
-}
-
 void Forwarder::ResendSyn(const FlowKey& key,
                           TrackedFlow& flow,
                           TimePoint now) {
@@ -322,9 +221,36 @@
         now);
   }
   TrackPacket(header, *entry, now);
+  if (IsAbandoned(header, *entry, now)) {
+    if (const TrackedFlow* flow = flows_.Find(header.flow)) {
+      ReleaseRequest(*flow);
+      flows_.Remove(header.flow);
+    }
+    return Refuse(header, Reason::kTargetGone, now);
+  }
   return {PacketAction::kForward, &entry->target};
 }
 
+bool Forwarder::IsAbandoned(const PacketHeader& header,
+                            const TargetEntry& entry,
+                            TimePoint now) {
+  if (!entry.target.gone || header.data_bytes == 0) {
+    return false;
+  }
+  const TrackedFlow* flow = flows_.Find(header.flow);
+  if (flow == nullptr ||
+      (flow->phase != FlowPhase::kRequestInProgress &&
+       flow->phase != FlowPhase::kRequestOverdue) ||
+      header.sequence != flow->request_sequence ||
+      now - flow->request_started_at < kAbandonedAfter) {
+    return false;
+  }
+  // A reset says nothing of whether the request has run.
+  const auto route = view_->routes.find(flow->route_key);
+  return route != view_->routes.end() &&
+         route->second.idempotency == Idempotency::kIdempotent;
+}
+
 void Forwarder::TrackPacket(const PacketHeader& header,
                             TargetEntry& entry,
                             TimePoint now) {
@@ -380,6 +306,7 @@
                              TimePoint now) {
   flow.phase = FlowPhase::kRequestInProgress;
   flow.request_started_at = now;
+  flow.request_sequence = header.sequence;
   flow.request_acknowledged = header.acknowledged;
   const auto route = view_->routes.find(flow.route_key);
   flow.overdue_after =
--- a/src/forward/forwarder.h
+++ b/src/forward/forwarder.h
@@ -37,6 +37,7 @@
   kStaleSyn,            // the SYN waited while this VM was suspended
   kUnanswered,          // the target did not answer the SYN
   kQuickResponse,       // the target responds without doing the usual work
+  kTargetGone,          // the target of an open flow has left or ended
   kCount,
 };
 inline constexpr EnumName<Reason> kReasonNames[] = {
@@ -51,6 +52,7 @@
     {Reason::kStaleSyn, "stale-opening"},
     {Reason::kUnanswered, "unanswered"},
     {Reason::kQuickResponse, "quick-response"},
+    {Reason::kTargetGone, "target-gone"},
 };
 constexpr std::span<const EnumName<Reason>> NamesOf(Reason) {
   return kReasonNames;
@@ -144,6 +146,11 @@
                             TimePoint now);
   void ResendSyn(const FlowKey& key, TrackedFlow& flow, TimePoint now);
   void CountUnansweredSyn(const TrackedFlow& flow, TimePoint now);
+  // Whether the flow's target is gone and the client still sends the first
+  // packet of a request that may run elsewhere.
+  bool IsAbandoned(const PacketHeader& header,
+                   const TargetEntry& entry,
+                   TimePoint now);
   // Updates the flow and the entry of its target from a packet after the SYN.
   void TrackPacket(const PacketHeader& header,
                    TargetEntry& entry,
--- a/src/forward/packet.h
+++ b/src/forward/packet.h
@@ -72,8 +72,9 @@
   std::function<void(std::span<uint8_t> datagram, TargetToken token)> set_token;
   // Header for the target with this instance number.
   std::function<EncapsulationHeader(uint64_t instance)> encapsulation_header;
-  // A reset from the service to the client, for a flow that is not open.
-  std::function<HeaderOnlyPacket(const FlowKey& flow)> make_reset;
+  // A reset from the service to the client, in answer to a packet of the
+  // client.
+  std::function<HeaderOnlyPacket(const PacketHeader& header)> make_reset;
 };
 
 }  // namespace marjoramhall::forward
--- a/src/forward/view.h
+++ b/src/forward/view.h
@@ -52,6 +52,9 @@
   bool in_own_domain = false;
   uint32_t slots = 1;  // at least 1
   TargetState state = TargetState::kActive;
+  // Of a retired target: the store has said that it has left or ended. Its
+  // entry may otherwise be unreadable while it works.
+  bool gone = false;
   TimePoint warm_up_until;  // the target is slow before this time
 };
 
--- a/src/net/packet_path.cc
+++ b/src/net/packet_path.cc
@@ -126,7 +126,7 @@
       case forward::PacketAction::kReset: {
         const Endpoint client{IpAddress::FromV4(header.flow.client_address),
                               options_.client_port};
-        Send(client, codec_.make_reset(header.flow), {});
+        Send(client, codec_.make_reset(header), {});
         break;
       }
       case forward::PacketAction::kDrop:
--- a/tests/discovery/target_registry_test.cc
+++ b/tests/discovery/target_registry_test.cc
@@ -175,6 +175,31 @@
   EXPECT_EQ(registry_.revision(), 20U);
 }
 
+TEST_F(TargetRegistryTest, OnlyTargetsThatTheStoreRemovedAreGone) {
+  const auto is_gone = [this](uint64_t instance) {
+    const auto view = registry_.MakeView();
+    for (const forward::Target& it : view->targets) {
+      if (it.instance == instance) {
+        return it.gone;
+      }
+    }
+    return false;
+  };
+  Apply(MakePut(MakeRecord(7, 80), 2), 2);
+  Apply(MakeRemoval(MakeRecord(7, 80), 3), 3);
+  EXPECT_FALSE(is_gone(7));  // its entry may come back
+  Pass(seconds(2));
+  EXPECT_TRUE(is_gone(7));
+  Apply(MakePut(MakeRecord(7, 80), 4), 4);
+  EXPECT_FALSE(is_gone(7));
+  // The entry becomes unreadable while the target works.
+  StoreChange unreadable = MakeRemoval(MakeRecord(7, 80), 5);
+  unreadable.removed = false;
+  Apply(unreadable, 5);
+  EXPECT_EQ(StateOf(7), TargetState::kRetired);
+  EXPECT_FALSE(is_gone(7));
+}
+
 TEST_F(TargetRegistryTest, IgnoresAnOlderConfiguration) {
   Apply(MakeConfig(9, 444), 2);
   Apply(MakeConfig(8, 445), 3);
--- a/tests/platform/packet_codec_test.cc
+++ b/tests/platform/packet_codec_test.cc
@@ -3,7 +3,10 @@
 #include "platform/packet_codec.h"
 
 #include <gtest/gtest.h>
+
 #include <rapidcheck/gtest.h>
+#include <algorithm>
+#include <iterator>
 
 #include <vector>
 
@@ -36,7 +39,19 @@
 TEST(PacketCodec, EncodesTheResetOfTheExample) {
   forward::PacketHeader header;
   ASSERT_TRUE(MakePacketCodec().decode(kSyn, &header));
-  EXPECT_EQ(MakePacketCodec().make_reset(header.flow), kReset);
+  EXPECT_EQ(MakePacketCodec().make_reset(header), kReset);
+}
+
+TEST(PacketCodec, ResetOfAnOpenFlowContinuesWhatTheClientAcknowledged) {
+  // The client ignores a reset with a sequence number far from that.
+  forward::PacketHeader header;
+  ASSERT_TRUE(MakePacketCodec().decode(kSyn, &header));
+  header.syn = false;
+  header.acknowledged = 0x01020304;
+  forward::HeaderOnlyPacket expected = kReset;
+  const uint8_t sequence[] = {1, 2, 3, 4};
+  std::copy(std::begin(sequence), std::end(sequence), expected.begin() + 18);
+  EXPECT_EQ(MakePacketCodec().make_reset(header), expected);
 }
 
 TEST(PacketCodec, ChangesOnlyTheTokenOfAPacket) {
