Do not take usual response times for a queue

Clients delay the acknowledgment of a response of one packet, so that the usual response time as a VM sees it is 70 ms (p50, a trial that printed them); the longest acceptable one was 80 ms, 0.4 of the objective. The latency ratio was therefore near 1 without any queue.

Ruled out: requests at targets that had just ended (the refusals began before they did).

Change: the longest acceptable response time is at least 1.5 times the baseline median.

--- a/src/forward/admission.cc
+++ b/src/forward/admission.cc
@@ -112,9 +112,13 @@
   double acceptable =
       ToSeconds(route.latency_objective) * options_.objective_fraction;
   if (state.baseline_median_seconds > 0) {
-    const double queued =
-        state.baseline_median_seconds * options_.max_baseline_multiple;
-    acceptable = acceptable > 0 ? std::min(acceptable, queued) : queued;
+    const double usual = state.baseline_median_seconds;
+    const double longest = usual * options_.max_baseline_multiple;
+    acceptable =
+        acceptable > 0
+            ? std::clamp(acceptable, usual * options_.min_baseline_multiple,
+                         longest)
+            : longest;
   }
   state.response_seconds.push_back(seconds);
   // Without a latency objective the first window only sets the baseline.
--- a/src/forward/admission.h
+++ b/src/forward/admission.h
@@ -31,6 +31,10 @@
   // Fraction of the latency objective that the median response time may take.
   // The rest is for requests that take longer than usual.
   double objective_fraction = 0.4;
+  // The longest acceptable response time is at least this multiple of the
+  // baseline median, however tight the objective is: a usual response time is
+  // no sign of a queue.
+  double min_baseline_multiple = 1.5;
   // Longest acceptable response time as a multiple of the baseline median.
   // Four to five times the baseline fills the queue of a target, which has 8 to
   // 12 places for 2 to 3 slots.
--- a/tests/forward/overload_simulation.cc
+++ b/tests/forward/overload_simulation.cc
@@ -393,11 +393,12 @@
              last.token =
                  TargetToken{static_cast<uint32_t>(request->target + 1)};
              last.acknowledged = 1000;
-             Schedule(now_ + kOneWayDelay, [this, last, vm = request->vm] {
-               if (vms_[vm] != nullptr) {
-                 vms_[vm]->OnPacket(last, {}, now_);
-               }
-             });
+             Schedule(now_ + options_.response_ack_delay + kOneWayDelay,
+                      [this, last, vm = request->vm] {
+                        if (vms_[vm] != nullptr) {
+                          vms_[vm]->OnPacket(last, {}, now_);
+                        }
+                      });
              if (error) {
                ++ResultOf(*request).errors;
                RetryOrFail(request, true, &ClassResult::ended_by_error);
--- a/tests/forward/overload_simulation.h
+++ b/tests/forward/overload_simulation.h
@@ -55,6 +55,9 @@
   AdmissionOptions admission;
   // Fraction of the flows that reach the first VM regardless of their hash.
   double first_vm_fraction = 0;
+  // Time until a client acknowledges a response. Clients acknowledge every
+  // second packet at once, so that one packet alone waits.
+  Duration response_ack_delay{0};
   bool ideal_queue = false;  // one central queue instead of VMs and targets
   uint64_t seed = 1;
 };
--- a/tests/forward/overload_simulation_test.cc
+++ b/tests/forward/overload_simulation_test.cc
@@ -47,6 +47,18 @@
   return SmallDeployment(2, milliseconds(19), milliseconds(120));
 }
 
+// The usual response time is a large part of the latency objective, because
+// clients delay the acknowledgments of short responses.
+SimulationOptions TightObjective() {
+  SimulationOptions options =
+      SmallDeployment(3, milliseconds(40), milliseconds(200));
+  options.vms = 6;
+  options.classes[0].per_second = 292;
+  options.classes[1].per_second = 83;
+  options.response_ack_delay = milliseconds(30);
+  return options;
+}
+
 SimulationOptions LargeDeployment() {
   SimulationOptions options =
       SmallDeployment(2, milliseconds(47), milliseconds(800));
@@ -198,5 +210,27 @@
   }
 }
 
+TEST(OverloadSimulationTest, RefusesNothingWithATightObjective) {
+  // One VM carries the clients of a whole failure domain. A usual response time
+  // near the objective must not be taken for a queue.
+  SimulationOptions options = TightObjective();
+  options.first_vm_fraction = 0.35;
+  options.phases = {{1, seconds(10)}, {1.3, seconds(10)}};
+  for (const PhaseResult& it : RunAllSeeds(options)) {
+    EXPECT_EQ(it.Sum().refused, 0U);
+  }
+}
+
+TEST(OverloadSimulationTest, MatchesIdealQueueWithATightObjective) {
+  for (const double load : {1.7, 2.0, 3.0}) {
+    SimulationOptions options = TightObjective();
+    options.phases = {{1, seconds(4)}, {load, seconds(6)}};
+    ExpectNearIdeal(options, 1);
+  }
+  SimulationOptions options = TightObjective();
+  options.phases = {{1, seconds(4)}, {1.6, seconds(6), 7}};
+  ExpectNearIdeal(options, 1);
+}
+
 }  // namespace
 }  // namespace marjoramhall::forward
