Watch from the oldest page of an old listing

Cause (found by reading): pages that may be old can show different ages. The watch began at the revision of the first page; a change between that and an older second page was missed, so that a target that had left stayed in use.

Change: the watch begins at the lowest revision of the pages. The test fails on the code before.

--- a/src/discovery/store_follower.cc
+++ b/src/discovery/store_follower.cc
@@ -42,7 +42,7 @@
   // other back to targets that have left.
   const bool may_be_old = newest_revision_ == 0 && may_list_old_;
   for (;;) {
-    if (partial_.first_revision == 0) {
+    if (partial_.items_revision == 0) {
       partial_.started_at = hooks_.now();
     }
     StoreRead page = reader_.list(partial_.after, may_be_old, timeout);
@@ -56,10 +56,12 @@
     }
     std::move(page.changes.begin(), page.changes.end(),
               std::back_inserter(partial_.items));
-    // The pages may show different revisions. The watch starts at the first, so
-    // that it returns all changes made between pages.
-    if (partial_.first_revision == 0) {
-      partial_.first_revision = page.revision;
+    // The pages may show different revisions, and a later one may be older if
+    // pages may be old. The watch starts at the lowest, so that it returns all
+    // changes that a page lacks.
+    if (partial_.items_revision == 0 ||
+        page.revision < partial_.items_revision) {
+      partial_.items_revision = page.revision;
     }
     if (!page.has_more) {
       break;
@@ -67,7 +69,7 @@
     partial_.after = page.last_key;
   }
   PartialListing complete = std::exchange(partial_, PartialListing{});
-  watch_revision_ = complete.first_revision;
+  watch_revision_ = complete.items_revision;
   if (may_be_old) {
     old_listing_ = Listing{std::move(complete.items), watch_revision_};
     return Watch();
--- a/src/discovery/store_follower.h
+++ b/src/discovery/store_follower.h
@@ -177,9 +177,9 @@
   // the store, and would never complete a listing that starts over each time.
   struct PartialListing {
     std::vector<StoreChange> items;
-    std::string after;  // key of the last item
-    uint64_t first_revision = 0;
-    TimePoint started_at;  // begin of the call for the first page
+    std::string after;            // key of the last item
+    uint64_t items_revision = 0;  // lowest of the pages; 0 before the first
+    TimePoint started_at;         // begin of the call for the first page
   };
 
   ReadStatus List();
--- a/tests/discovery/store_follower_test.cc
+++ b/tests/discovery/store_follower_test.cc
@@ -508,6 +508,19 @@
   EXPECT_EQ(changes_, 1U);
 }
 
+TEST_F(OldListingTest, IsWatchedFromItsOldestPage) {
+  // The second page is older than the first. A target of it that left in
+  // between would otherwise stay in use.
+  StoreRead first = Ok(10, {MakeChange("a", 3)});
+  first.has_more = true;
+  first.last_key = std::string("a");
+  answers_ = {first, Ok(7, {MakeChange("b", 4)}), Ok(12)};
+  old_.Step();
+  EXPECT_EQ(watched_after_, std::vector<uint64_t>{7});
+  ASSERT_EQ(listings_.size(), 1U);
+  EXPECT_EQ(listings_[0].revision, 7U);
+}
+
 TEST_F(OldListingTest, IsNotUsedWhenTheHistoryIsGone) {
   // A target that left while the store dropped its history is in the old
   // listing, and no watch shows its removal.
