Clear the linter's findings

A value that was moved from was tested, a product was widened late, and a constant member of a test had no initializer. No change of behaviour.

--- a/src/discovery/store_follower.cc
+++ b/src/discovery/store_follower.cc
@@ -159,11 +159,10 @@
   for (;;) {
     const TimePoint started_at = hooks_.now();
     auto set = reader_.poll_relay(relay_choice_, watch_revision_);
-    if (set && AcceptRelay(*std::move(set), started_at)) {
-      return true;
-    }
     if (!set) {
       OnRelayRefused(std::nullopt);
+    } else if (AcceptRelay(*std::move(set), started_at)) {
+      return true;
     }
     const TimePoint now = hooks_.now();
     if (now - started_at > options_.quick_refusal ||
--- a/tests/discovery/relay_fleet_test.cc
+++ b/tests/discovery/relay_fleet_test.cc
@@ -297,7 +297,8 @@
     // Beside the calls of the relays, a listing of each VM and a few watches
     // until the relays serve.
     const size_t per_start = 8;
-    EXPECT_LT(fleet.store_calls, 3 * 150 + per_start * vms) << vms << " VMs";
+    EXPECT_LT(fleet.store_calls, size_t{3} * 150 + per_start * vms)
+        << vms << " VMs";
     if (vms == 30) {
       calls_of_30 = fleet.store_calls;
     }
--- a/tests/forward/quick_failure_test.cc
+++ b/tests/forward/quick_failure_test.cc
@@ -37,7 +37,7 @@
   }
 
   TimePoint now_{seconds(1000)};
-  const QuickFailureOptions options_;
+  const QuickFailureOptions options_{};
   QuickFailureDetector detector_{options_};
   TargetEntry entry_;
 };
