Look for a suspension before each SYN of a batch

The SYNs behind were taken for new ones although other VMs had opened their flows.

Change: the clock is read before each SYN of a batch.

--- a/src/forward/forwarder.h
+++ b/src/forward/forwarder.h
@@ -105,10 +105,10 @@
   void OnViewConfirmed(TimePoint at) { view_confirmed_at_ = at; }
 
   // Must be called with BootTimeNow() after packets are received and before
-  // they are passed in. After a long gap, for instance because this VM was
-  // suspended, SYNs are dropped until the next OnTick(). Their clients have
-  // retransmitted them, so another VM may have opened the flow at a target of
-  // its choice.
+  // they are passed in, and again before each SYN of the batch. After a long
+  // gap, for instance because this VM was suspended, SYNs are dropped until the
+  // next OnTick(). Their clients have retransmitted them, so another VM may
+  // have opened the flow at a target of its choice.
   void OnReceiveBatch(TimePoint boot_now);
 
   // Decides about one packet. `datagram` is the packet in wire format.
--- a/src/net/packet_path.cc
+++ b/src/net/packet_path.cc
@@ -117,6 +117,10 @@
       ++stats_.malformed;
       return;
     }
+    if (header.syn) {
+      // The VM may have been suspended since the batch was received.
+      forwarder_.OnReceiveBatch(BootTimeNow());
+    }
     const auto verdict = forwarder_.OnPacket(header, datagram, now);
     switch (verdict.action) {
       case forward::PacketAction::kForward:
--- a/tests/forward/forwarder_load_test.cc
+++ b/tests/forward/forwarder_load_test.cc
@@ -162,6 +162,21 @@
   EXPECT_GE(suspect_decisions_, 1);
 }
 
+TEST(ForwarderSuspensionTest, DropsTheRestOfABatchThatASuspensionInterrupted) {
+  // The VM was suspended between two SYNs of a batch. The flow of the second
+  // may be open through another VM by now.
+  Forwarder forwarder({}, NoHooks());
+  forwarder.OnView(std::make_shared<View>(MakeView(4)));
+  const HeaderOnlyPacket bytes{1};
+  TimePoint now{seconds(1000)};
+  forwarder.OnReceiveBatch(now);
+  EXPECT_EQ(forwarder.OnPacket(MakeSyn(1), bytes, now).action,
+            PacketAction::kForward);
+  forwarder.OnReceiveBatch(now + seconds(2));
+  EXPECT_EQ(forwarder.OnPacket(MakeSyn(2), bytes, now).reason,
+            Reason::kStaleSyn);
+}
+
 TEST(ForwarderSuspensionTest, DoesNotMistakeItsSuspensionForSlowTargets) {
   Forwarder forwarder({}, NoHooks());
   forwarder.OnView(std::make_shared<View>(MakeView(4)));
