Log by which call a VM learns of a change

Change: a line view-updated for each batch of entries, with the call, the revision and the age. The follower pauses after it has reported the call.

Tests: ReportsTheStoreBeforeTheDelayBetweenWatches fails before the change; NamesTheCallThatAnUpdateCameWith.

--- a/src/app/forward_process.cc
+++ b/src/app/forward_process.cc
@@ -15,13 +15,13 @@
 #include <csignal>
 #include <mutex>
 #include <optional>
-#include <random>
-#include <string_view>
 #include <utility>
 
 #include "platform/packet_codec.h"
 #include "platform/readiness_path.h"
+#include "src/app/discovery_log.h"
 #include "src/app/forward_metrics.h"
+#include "src/app/forward_options.h"
 #include "src/app/relay_service.h"
 #include "src/app/stop_condition.h"
 #include "src/app/store_thread.h"
@@ -43,8 +43,6 @@
 // Also the interval between two reports of unlogged decisions.
 constexpr auto kLogInterval = std::chrono::seconds(2);
 constexpr auto kStopPollInterval = std::chrono::milliseconds(20);
-// Queue of the log, in lines of about 400 bytes.
-constexpr size_t kLogQueueLines = 512;
 
 // Followers of a relay: a third of the largest fleet (760 VMs), and twice that
 // while another of the three seeds is down.
@@ -57,54 +55,6 @@
 constexpr int kHttpOk = 200;
 constexpr int kHttpUnavailable = 503;
 
-uint64_t RandomSeed() {
-  std::random_device device;
-  return (uint64_t{device()} << 32) | device();
-}
-
-observe::DecisionLogOptions LogOptions(const settings::Settings& settings) {
-  observe::DecisionLogOptions options;
-  options.vm = settings.vm.name;
-  options.path = settings.log.path;
-  options.standard_output = true;
-  options.level = settings.log.level;
-  options.decisions = settings.log.decisions;
-  options.queue_lines = kLogQueueLines;
-  return options;
-}
-
-net::PacketPathOptions PathOptions(const settings::Settings& settings) {
-  net::PacketPathOptions options;
-  options.listen = settings.forward.listen;
-  options.client_port = settings.forward.listen.port;
-  options.forwarder.seed = RandomSeed();
-  return options;
-}
-
-net::PeerAnnouncerOptions PeerAnnouncerOptions(
-    const settings::Settings& settings) {
-  net::PeerAnnouncerOptions options;
-  options.listen = settings.forward.announce;
-  options.snapshot_port = settings.forward.peers.port;
-  options.seeds = settings.forward.seeds;
-  return options;
-}
-
-discovery::RegistryOptions RegistryOptions(const settings::Settings& settings) {
-  discovery::RegistryOptions options;
-  options.failure_domain = settings.vm.failure_domain;
-  return options;
-}
-
-// Parses a URL such as "http://127.0.0.1:7000".
-std::optional<Endpoint> ParseStoreUrl(std::string_view url) {
-  constexpr std::string_view kScheme = "http://";
-  if (!url.starts_with(kScheme)) {
-    return std::nullopt;
-  }
-  return Endpoint::Parse(url.substr(kScheme.size()));
-}
-
 }  // namespace
 
 struct ForwardProcess::Impl {
@@ -117,11 +67,16 @@
   StoreThreadHooks MakeStoreHooks();
   std::vector<Endpoint> SnapshotPeers() const;
   std::vector<Endpoint> Seeds() const;
-  void OnListing(const discovery::Listing& listing);
+  void OnListing(const discovery::Listing& listing,
+                 discovery::UpdateSource source);
   void OnChanges(const std::vector<discovery::StoreChange>& changes,
-                 uint64_t revision);
+                 uint64_t revision,
+                 discovery::UpdateSource source);
+  // Logs by which call this VM learnt of the changes that follow in the log.
+  void LogUpdate(discovery::UpdateSource source,
+                 uint64_t revision,
+                 size_t entries) const;
   void OnConfirmed(TimePoint boot_time);
-  void OnReachable(bool reachable, discovery::ReadStatus status);
   void PublishView();
   void WaitForSignal();
   void BeginStop();
@@ -140,6 +95,7 @@
   const settings::Settings settings_;
   const std::filesystem::path file_;
   observe::DecisionLog log_;  // thread-safe
+  const DecisionHook log_hook_ = log_.Hook();
   asio::io_context io_;
   asio::signal_set signals_;
   asio::steady_timer tick_timer_;
@@ -171,14 +127,14 @@
                            std::filesystem::path file)
     : settings_(settings),
       file_(std::move(file)),
-      log_(LogOptions(settings)),
+      log_(LogOptionsFor(settings)),
       signals_(io_, SIGTERM, SIGINT, SIGHUP),
       tick_timer_(io_),
       log_timer_(io_),
       stop_timer_(io_),
-      registry_(RegistryOptions(settings), MakeTargetHook()),
+      registry_(RegistryOptionsFor(settings), MakeTargetHook()),
       relay_(settings.forward.TightestBound(), MakeRelayHooks(), metrics_),
-      path_(PathOptions(settings),
+      path_(PathOptionsFor(settings),
             platform::MakePacketCodec(),
             MakePathHooks()),
       status_server_(
@@ -191,7 +147,7 @@
                    MakePeerRoutes(),
                    {kMaxPeerConnections, kPeerKeepAlive}),
       announcer_(io_,
-                 PeerAnnouncerOptions(settings),
+                 PeerAnnouncerOptionsFor(settings),
                  [this] { return registry_.revision(); }),
       seeds_(settings.forward.seeds) {
   AddForwardMetrics(
@@ -221,17 +177,17 @@
             state.peers = announcer_.CountRecentPeers(SteadyNow());
             return state;
           },
-          log_.Hook()};
+          log_hook_};
 }
 
 // Limits the lines about targets, because all targets change at once when a VM
 // starts or a service is released.
 DecisionHook ForwardProcess::Impl::MakeTargetHook() {
-  return [this, write = log_.Hook()](const Decision& it) {
+  return [this](const Decision& it) {
     const bool joined = it.outcome == NameOf(forward::TargetState::kActive);
     if (it.kind != DecisionKind::kTargetHealth ||
         target_log_limiter_.Allow(!joined, SteadyNow())) {
-      write(it);
+      log_hook_(it);
     }
   };
 }
@@ -241,7 +197,7 @@
       "marjoramhall_forward_response_seconds",
       "Time from a request to the begin of its response.",
       {0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0});
-  return {log_.Hook(), [&responses](Duration span) {
+  return {log_hook_, [&responses](Duration span) {
             responses.Record(std::chrono::duration<double>(span).count());
           }};
 }
@@ -281,14 +237,16 @@
 
 StoreThreadHooks ForwardProcess::Impl::MakeStoreHooks() {
   StoreThreadHooks hooks;
-  hooks.on_listing = [this](discovery::Listing listing) {
-    asio::post(io_,
-               [this, listing = std::move(listing)] { OnListing(listing); });
+  hooks.on_listing = [this](discovery::Listing listing,
+                            discovery::UpdateSource source) {
+    asio::post(io_, [this, listing = std::move(listing), source] {
+      OnListing(listing, source);
+    });
   };
   hooks.on_changes = [this](std::vector<discovery::StoreChange> changes,
-                            uint64_t revision) {
-    asio::post(io_, [this, changes = std::move(changes), revision] {
-      OnChanges(changes, revision);
+                            uint64_t revision, discovery::UpdateSource source) {
+    asio::post(io_, [this, changes = std::move(changes), revision, source] {
+      OnChanges(changes, revision, source);
     });
   };
   hooks.on_confirmed = [this](TimePoint boot_time) {
@@ -296,13 +254,15 @@
     asio::post(io_, [this, boot_time] { OnConfirmed(boot_time); });
   };
   hooks.on_reachable = [this](bool reachable, discovery::ReadStatus status) {
-    asio::post(io_,
-               [this, reachable, status] { OnReachable(reachable, status); });
+    asio::post(io_, [this, reachable, status] {
+      LogStoreReachable(log_hook_, reachable, status,
+                        registry_.config_version());
+    });
   };
   hooks.on_source = [this](discovery::ViewSource source, const Endpoint& relay,
                            std::optional<Duration> age) {
     asio::post(io_, [this, source, relay, age] {
-      relay_.LogSource(source, relay, age);
+      LogViewSource(log_hook_, source, registry_.revision(), relay, age);
     });
   };
   hooks.on_call = AddStoreMetrics(metrics_);
@@ -324,7 +284,9 @@
   return peers;
 }
 
-void ForwardProcess::Impl::OnListing(const discovery::Listing& listing) {
+void ForwardProcess::Impl::OnListing(const discovery::Listing& listing,
+                                     discovery::UpdateSource source) {
+  LogUpdate(source, listing.revision, listing.items.size());
   registry_.ApplyListing(listing, SteadyNow());
   relay_.OnListing(registry_.revision());
   PublishView();
@@ -332,13 +294,27 @@
 
 void ForwardProcess::Impl::OnChanges(
     const std::vector<discovery::StoreChange>& changes,
-    uint64_t revision) {
+    uint64_t revision,
+    discovery::UpdateSource source) {
+  if (!changes.empty()) {
+    LogUpdate(source, revision, changes.size());
+  }
   relay_.OnChanges(changes, revision);
   if (registry_.ApplyChanges(changes, revision, SteadyNow())) {
     PublishView();
   }
 }
 
+void ForwardProcess::Impl::LogUpdate(discovery::UpdateSource source,
+                                     uint64_t revision,
+                                     size_t entries) const {
+  std::optional<Duration> age;
+  if (registry_.revision() > 0) {
+    age = SteadyNow() - confirmed_at_;
+  }
+  LogViewUpdate(log_hook_, source, revision, entries, age);
+}
+
 void ForwardProcess::Impl::OnConfirmed(TimePoint boot_time) {
   relay_.OnConfirmed(boot_time);
   const TimePoint at = SteadyNow() - (BootTimeNow() - boot_time);
@@ -346,16 +322,6 @@
   path_.PostViewConfirmed(at);
 }
 
-void ForwardProcess::Impl::OnReachable(bool reachable,
-                                       discovery::ReadStatus status) {
-  Decision decision;
-  decision.kind = DecisionKind::kMembership;
-  decision.revision = registry_.config_version();
-  decision.outcome = reachable ? "store-regained" : "store-lost";
-  decision.reason = NameOf(status);
-  log_.Write(decision);
-}
-
 void ForwardProcess::Impl::PublishView() {
   path_.PostView(registry_.MakeView());
   if (!ready_ && registry_.config_version() > 0 &&
--- a/src/app/relay_service.cc
+++ b/src/app/relay_service.cc
@@ -5,6 +5,7 @@
 #include <string>
 #include <utility>
 
+#include "src/app/discovery_log.h"
 #include "src/net/relay_client.h"
 #include "src/net/snapshot_client.h"
 
@@ -27,13 +28,6 @@
   return revision;
 }
 
-std::string MillisecondsText(Duration span) {
-  return std::to_string(
-             std::chrono::duration_cast<std::chrono::milliseconds>(span)
-                 .count()) +
-         " ms";
-}
-
 }  // namespace
 
 RelayService::RelayService(Duration bound,
@@ -104,23 +98,6 @@
   hooks_.log_decision(decision);
 }
 
-void RelayService::LogSource(discovery::ViewSource source,
-                             const Endpoint& relay,
-                             std::optional<Duration> age) const {
-  std::string detail = relay.ToString();
-  if (age) {
-    detail += ", view confirmed " + MillisecondsText(*age) + " ago";
-  }
-  Decision decision;
-  decision.kind = DecisionKind::kMembership;
-  decision.revision = relay_.revision();
-  decision.outcome =
-      source == discovery::ViewSource::kRelay ? "relay-followed" : "relay-lost";
-  decision.reason = age ? "answered" : "refused-or-silent";
-  decision.detail = detail;
-  hooks_.log_decision(decision);
-}
-
 bool RelayService::IsPolled() const {
   return BootTimeNow().time_since_epoch().count() < polled_until_;
 }
--- a/src/app/relay_service.h
+++ b/src/app/relay_service.h
@@ -16,7 +16,6 @@
 #include "src/base/endpoint.h"
 #include "src/base/time.h"
 #include "src/discovery/change_relay.h"
-#include "src/discovery/store_follower.h"
 #include "src/net/status_server.h"
 #include "src/observe/metrics.h"
 
@@ -46,12 +45,6 @@
   net::StatusResponse AnswerPoll(const net::QueryParameter& query);
   net::StatusResponse AnswerSnapshot(const net::QueryParameter& query);
 
-  // The view of this VM comes from the store or from a relay from now on. `age`
-  // is that of the relay's view if the relay answered.
-  void LogSource(discovery::ViewSource source,
-                 const Endpoint& relay,
-                 std::optional<Duration> age) const;
-
   // Whether other VMs depend on this one. Thread-safe.
   bool IsPolled() const;
 
--- a/src/app/store_thread.h
+++ b/src/app/store_thread.h
@@ -29,8 +29,10 @@
 
 // Called on the store thread.
 struct StoreThreadHooks {
-  std::function<void(discovery::Listing)> on_listing;
-  std::function<void(std::vector<discovery::StoreChange>, uint64_t revision)>
+  std::function<void(discovery::Listing, discovery::UpdateSource)> on_listing;
+  std::function<void(std::vector<discovery::StoreChange>,
+                     uint64_t revision,
+                     discovery::UpdateSource)>
       on_changes;
   std::function<void(TimePoint boot_time)> on_confirmed;
   std::function<void(bool reachable, discovery::ReadStatus)> on_reachable;
--- a/src/discovery/store_follower.cc
+++ b/src/discovery/store_follower.cc
@@ -29,6 +29,10 @@
     return;
   }
   OnStatus(watch_revision_ == 0 ? List() : Watch());
+  const Duration delay = std::exchange(batching_delay_, Duration{0});
+  if (delay > Duration{0}) {
+    hooks_.sleep(delay);
+  }
 }
 
 ReadStatus StoreFollower::List() {
@@ -75,7 +79,8 @@
     return Watch();
   }
   newest_revision_ = std::max(newest_revision_, watch_revision_);
-  hooks_.on_listing({std::move(complete.items), watch_revision_});
+  hooks_.on_listing({std::move(complete.items), watch_revision_},
+                    UpdateSource::kListing);
   Confirm(complete.started_at);
   return ReadStatus::kOk;
 }
@@ -83,7 +88,8 @@
 void StoreFollower::PublishOldListing() {
   if (old_listing_) {
     newest_revision_ = watch_revision_;
-    hooks_.on_listing(*std::exchange(old_listing_, std::nullopt));
+    hooks_.on_listing(*std::exchange(old_listing_, std::nullopt),
+                      UpdateSource::kListing);
   }
 }
 
@@ -116,14 +122,15 @@
   newest_revision_ = std::max(newest_revision_, watch_revision_);
   const bool has_changes = !read.changes.empty();
   if (has_changes) {
-    hooks_.on_changes(std::move(read.changes), watch_revision_);
+    hooks_.on_changes(std::move(read.changes), watch_revision_,
+                      UpdateSource::kWatch);
   }
   const TimePoint ended_at = hooks_.now();
   Confirm(ended_at - started_at > wait + options_.max_response_time ? started_at
                                                                     : ended_at);
   if (has_changes) {
-    hooks_.sleep(is_relay ? options_.relay_batching_delay
-                          : options_.batching_delay);
+    batching_delay_ =
+        is_relay ? options_.relay_batching_delay : options_.batching_delay;
   }
   return ReadStatus::kOk;
 }
@@ -199,9 +206,11 @@
     watch_revision_ = set.revision;
     newest_revision_ = std::max(newest_revision_, watch_revision_);
     if (set.complete) {
-      hooks_.on_listing({std::move(set.changes), set.revision});
+      hooks_.on_listing({std::move(set.changes), set.revision},
+                        UpdateSource::kRelay);
     } else {
-      hooks_.on_changes(std::move(set.changes), set.revision);
+      hooks_.on_changes(std::move(set.changes), set.revision,
+                        UpdateSource::kRelay);
     }
   }
   Confirm(confirmed_at);
@@ -250,7 +259,7 @@
     newest_revision_ = listing->revision;
     watch_revision_ = listing->revision;
     partial_ = PartialListing{};
-    hooks_.on_listing(*std::move(listing));
+    hooks_.on_listing(*std::move(listing), UpdateSource::kSnapshot);
   }
 }
 
--- a/src/discovery/store_follower.h
+++ b/src/discovery/store_follower.h
@@ -69,6 +69,23 @@
       poll_relay;
 };
 
+// What an update of the view came with.
+enum class UpdateSource {
+  kListing,   // a listing of the store
+  kWatch,     // a watch of the store
+  kRelay,     // a poll of a relay
+  kSnapshot,  // a snapshot of another VM
+};
+inline constexpr EnumName<UpdateSource> kUpdateSourceNames[] = {
+    {UpdateSource::kListing, "listing"},
+    {UpdateSource::kWatch, "watch"},
+    {UpdateSource::kRelay, "relay"},
+    {UpdateSource::kSnapshot, "snapshot"},
+};
+constexpr std::span<const EnumName<UpdateSource>> NamesOf(UpdateSource) {
+  return kUpdateSourceNames;
+}
+
 // Where the view comes from.
 enum class ViewSource { kStore, kRelay };
 inline constexpr EnumName<ViewSource> kViewSourceNames[] = {
@@ -141,9 +158,11 @@
  public:
   struct Hooks {
     // A complete listing, from the store or from another VM.
-    std::function<void(Listing)> on_listing;
+    std::function<void(Listing, UpdateSource)> on_listing;
     // Later changes, in order, up to a revision of the store.
-    std::function<void(std::vector<StoreChange>, uint64_t revision)> on_changes;
+    std::function<
+        void(std::vector<StoreChange>, uint64_t revision, UpdateSource)>
+        on_changes;
     // A response of the store, directly or through a relay, confirmed that all
     // known entries were current at this time. Called after the hooks that
     // pass these entries on.
@@ -218,7 +237,8 @@
   uint64_t watch_revision_ = 0;   // 0 while a listing is needed
   uint64_t newest_revision_ = 0;  // passed to the hooks; 0 before the first
   TimePoint last_peer_query_;
-  Duration retry_delay_{0};  // 0 after a successful call
+  Duration retry_delay_{0};     // 0 after a successful call
+  Duration batching_delay_{0};  // until the next call, after changes
   bool reachable_ = false;
   bool has_listed_ = false;  // List() has been called
   TimePoint confirmed_at_;
--- a/tests/discovery/relay_fleet_test.cc
+++ b/tests/discovery/relay_fleet_test.cc
@@ -106,11 +106,11 @@
         return fleet.Poll(*this, f, other, after);
       };
       StoreFollower::Hooks hooks;
-      hooks.on_listing = [&fleet, this](const Listing& it) {
+      hooks.on_listing = [&fleet, this](const Listing& it, UpdateSource) {
         fleet.Learn(*this, {}, it.revision);
       };
       hooks.on_changes = [&fleet, this](const std::vector<StoreChange>& it,
-                                        uint64_t up_to) {
+                                        uint64_t up_to, UpdateSource) {
         fleet.Learn(*this, it, up_to);
       };
       hooks.on_confirmed = [this](TimePoint at) {
--- a/tests/discovery/store_follower_fixture.h
+++ b/tests/discovery/store_follower_fixture.h
@@ -68,14 +68,19 @@
 
   StoreFollower::Hooks Hooks() {
     StoreFollower::Hooks hooks;
-    hooks.on_listing = [this](Listing listing) {
+    hooks.on_listing = [this](Listing listing, UpdateSource source) {
       listings_.push_back(std::move(listing));
+      updates_.push_back(source);
+    };
+    hooks.on_changes = [this](const std::vector<StoreChange>& changes, uint64_t,
+                              UpdateSource source) {
+      changes_ += changes.size();
+      updates_.push_back(source);
     };
-    hooks.on_changes = [this](const std::vector<StoreChange>& changes,
-                              uint64_t) { changes_ += changes.size(); };
     hooks.on_confirmed = [this](TimePoint at) { confirmed_at_ = at; };
     hooks.on_reachable = [this](bool reachable, ReadStatus) {
       reachable_.push_back(reachable);
+      reachable_at_.push_back(now_);
     };
     hooks.on_source = [this](ViewSource source, size_t,
                              std::optional<Duration>) {
@@ -123,7 +128,9 @@
   std::vector<uint64_t> peer_queries_;
   std::vector<Listing> listings_;
   size_t changes_ = 0;
+  std::vector<UpdateSource> updates_;
   std::vector<bool> reachable_;
+  std::vector<TimePoint> reachable_at_;
   TimePoint confirmed_at_;
   std::vector<Duration> slept_;
   StoreFollower follower_;
--- a/tests/discovery/store_follower_test.cc
+++ b/tests/discovery/store_follower_test.cc
@@ -80,6 +80,26 @@
   EXPECT_EQ(reachable_, (std::vector<bool>{true, false, true}));
 }
 
+TEST_F(StoreFollowerTest, ReportsTheStoreBeforeTheDelayBetweenWatches) {
+  answers_ = {Ok(10), Failed(ReadStatus::kNoAnswer),
+              Ok(12, {MakeChange("a", 12)})};
+  Steps(2);
+  const TimePoint answered = now_;
+  Steps(1);
+  EXPECT_GT(now_, answered);
+  EXPECT_EQ(reachable_at_.back(), answered);
+}
+
+TEST_F(StoreFollowerTest, NamesTheCallThatAnUpdateCameWith) {
+  answers_ = {Ok(10), Ok(12, {MakeChange("a", 12)})};
+  Steps(2);
+  peer_listing_ = Listing{{MakeChange("a", 13)}, 20};
+  Steps(2);
+  EXPECT_EQ(updates_, (std::vector<UpdateSource>{UpdateSource::kListing,
+                                                 UpdateSource::kWatch,
+                                                 UpdateSource::kSnapshot}));
+}
+
 TEST_F(StoreFollowerTest, ConfirmsTheViewOnlyByResponsesOfTheStore) {
   answers_ = {Ok(10), Ok(10)};
   Steps(2);
