--- /dev/null
+++ b/tests/platform/restored_store_test.cc
@@ -0,0 +1,176 @@
+// Guards against a view that stays behind a store that came back from an older
+// copy: its revisions go back and are given out again. Plays the store's
+// client, the follower, the registry and the relay over a stand-in of the
+// store.
+#include <gtest/gtest.h>
+
+#include <optional>
+
+#include "platform/standin/store.h"
+#include "platform/store_api.h"
+#include "src/discovery/change_relay.h"
+#include "src/discovery/store_follower.h"
+#include "src/discovery/target_registry.h"
+
+namespace marjoramhall::platform {
+namespace {
+
+using discovery::StoreFollower;
+using forward::TargetState;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+discovery::TargetRecord MakeRecord(uint64_t instance, bool draining = false) {
+  discovery::TargetRecord record;
+  char id[16];
+  std::snprintf(id, sizeof(id), "i-%08x", static_cast<unsigned>(instance));
+  record.id = id;
+  record.service = "s";
+  record.address = {IpAddress::FromV4(0x0a000001),
+                    static_cast<uint16_t>(1000 + instance)};
+  record.draining = draining;
+  return record;
+}
+
+discovery::ConfigRecord MakeConfig(uint64_t version) {
+  discovery::ConfigRecord config;
+  config.version = version;
+  discovery::RouteRecord route;
+  route.address = {IpAddress::FromV4(0xc6120001), 443};
+  route.shares = {{"s", 1}};
+  config.routes.push_back(route);
+  return config;
+}
+
+class RestoredStoreTest : public testing::Test {
+ protected:
+  // A VM that follows the store, and relays its changes to others.
+  struct Vm {
+    explicit Vm(const Endpoint& store)
+        : api(ApiOptions(store)),
+          registry({}, [](const Decision&) {}),
+          relay({}, [this] { return registry.Snapshot(); }),
+          follower(FollowerOptions(), api.Reader(), Hooks()) {}
+
+    static StoreApiOptions ApiOptions(const Endpoint& store) {
+      StoreApiOptions options;
+      options.address = store;
+      return options;
+    }
+
+    static discovery::FollowerOptions FollowerOptions() {
+      discovery::FollowerOptions options;
+      options.watch_wait = milliseconds(20);
+      return options;
+    }
+
+    StoreFollower::Hooks Hooks() {
+      StoreFollower::Hooks hooks;
+      hooks.on_listing = [this](const discovery::Listing& listing,
+                                discovery::UpdateSource) {
+        registry.ApplyListing(listing, now);
+        relay.OnListing(registry.revision());
+      };
+      hooks.on_changes = [this](
+                             const std::vector<discovery::StoreChange>& changes,
+                             uint64_t revision, discovery::UpdateSource) {
+        relay.OnChanges(changes, revision, now);
+        registry.ApplyChanges(changes, revision, now);
+      };
+      hooks.on_confirmed = [](TimePoint) {};
+      hooks.on_reachable = [](bool, discovery::ReadStatus) {};
+      hooks.on_source = [](discovery::ViewSource, size_t,
+                           std::optional<Duration>) {};
+      hooks.sleep = [](Duration) {};
+      hooks.now = [this] { return now; };
+      hooks.stopping = [] { return false; };
+      return hooks;
+    }
+
+    void Steps(int n) {
+      for (int i = 0; i < n; ++i) {
+        follower.Step();
+      }
+    }
+
+    std::optional<TargetState> StateOf(uint64_t instance) const {
+      const auto view = registry.MakeView();
+      for (const forward::Target& it : view->targets) {
+        if (it.instance == instance) {
+          return it.state;
+        }
+      }
+      return std::nullopt;
+    }
+
+    TimePoint now{seconds(1000)};
+    StoreApi api;
+    discovery::TargetRegistry registry;
+    discovery::ChangeRelay relay;
+    StoreFollower follower;
+  };
+
+  void SetUp() override {
+    ASSERT_EQ(store_.Open({IpAddress::FromV4(0x7f000001), 0}), "");
+    vm_.emplace(store_.local_endpoint());
+    store_.PutConfig(MakeConfig(3));
+    store_.PutTarget(MakeRecord(7));
+    store_.PutTarget(MakeRecord(8));
+  }
+
+  // Writes that the restored store will not have.
+  void LoseWrites(int n) {
+    store_.TakeCopy();
+    for (int i = 0; i < n; ++i) {
+      store_.PutTarget(MakeRecord(7));
+    }
+    vm_->Steps(3);
+    store_.RestoreCopy();
+  }
+
+  StandInStore store_;
+  std::optional<Vm> vm_;
+};
+
+TEST_F(RestoredStoreTest, ADrainBelowTheLostRevisionsTakesEffect) {
+  LoseWrites(20);
+  vm_->Steps(3);
+  store_.PutTarget(MakeRecord(7, true));
+  vm_->Steps(2);
+  EXPECT_EQ(vm_->StateOf(7), TargetState::kDraining);
+}
+
+TEST_F(RestoredStoreTest, ARelayPassesOnChangesBelowTheLostRevisions) {
+  // The VM that asks has followed the relay up to the lost revisions.
+  LoseWrites(20);
+  const auto follower_revision = vm_->registry.revision();
+  vm_->Steps(3);
+  store_.PutConfig(MakeConfig(4));
+  vm_->Steps(2);
+  discovery::ChangeRelay::State state;
+  state.has_view = true;
+  state.peers = 100;
+  state.confirmed_at = vm_->now;
+  const auto answer = vm_->relay.Poll(follower_revision, state, vm_->now);
+  ASSERT_TRUE(answer.set);
+  uint64_t version = 0;
+  for (const auto& it : answer.set->changes) {
+    version = it.config ? it.config->version : version;
+  }
+  EXPECT_EQ(version, 4U);
+}
+
+TEST_F(RestoredStoreTest, NoChangeIsMissedWhenTheNewHistoryIsAlreadyLonger) {
+  // The store has the revision that the VM watches from, so that it does not
+  // answer that this history is gone.
+  LoseWrites(3);
+  store_.PutTarget(MakeRecord(8, true));
+  for (int i = 0; i < 5; ++i) {
+    store_.PutTarget(MakeRecord(7));
+  }
+  vm_->Steps(4);
+  EXPECT_EQ(vm_->StateOf(8), TargetState::kDraining);
+}
+
+}  // namespace
+}  // namespace marjoramhall::platform
