Add failing tests of a watch with a large history

A response that arrives steadily, but needs longer than the time limit of the call, is discarded; and a watch decodes each superseded version of the configuration.

--- a/tests/net/http_client_test.cc
+++ b/tests/net/http_client_test.cc
@@ -199,6 +199,29 @@
   EXPECT_FALSE(client.Get("/", seconds(5)));
 }
 
+// Writes a response body of `parts` bytes, one every `gap`, until the client
+// disconnects.
+ScriptedServer::Script SlowBody(int parts, milliseconds gap) {
+  return [parts, gap](tcp::socket& socket) {
+    ReadRequest(socket);
+    Write(socket, "HTTP/1.1 200 OK\r\nContent-Length: " +
+                      std::to_string(parts) + "\r\n\r\n");
+    std::error_code ec;
+    for (int i = 0; i < parts && !ec; ++i) {
+      std::this_thread::sleep_for(gap);
+      asio::write(socket, asio::buffer("x", 1), ec);
+    }
+  };
+}
+
+TEST(HttpClientTest, ALargeResponseMayTakeLongerThanItsBeginning) {
+  ScriptedServer server({SlowBody(20, milliseconds(50))});
+  HttpClient client(server.Options());
+  const auto response = client.Get("/", milliseconds(400));
+  ASSERT_TRUE(response);
+  EXPECT_EQ(response->body.size(), 20U);
+}
+
 TEST(HttpClientTest, CancelEndsABlockedCall) {
   ScriptedServer server({[](tcp::socket& socket) {
     ReadRequest(socket);
--- a/tests/platform/store_api_test.cc
+++ b/tests/platform/store_api_test.cc
@@ -168,6 +168,28 @@
   EXPECT_EQ(api_->Watch(read.revision, milliseconds(50)).changes.size(), 0U);
 }
 
+TEST_F(StoreApiTest, AWatchDecodesOnlyTheNewestConfiguration) {
+  const uint64_t start = api_->List("", false, seconds(1)).revision;
+  for (uint64_t i = 1; i <= 5; ++i) {
+    discovery::ConfigRecord config;
+    config.version = i;
+    store_.PutConfig(config);
+    store_.PutTarget(MakeRecord(i));
+  }
+  const auto read = api_->Watch(start, seconds(1));
+  ASSERT_EQ(read.status, ReadStatus::kOk);
+  std::vector<uint64_t> versions;
+  size_t targets = 0;
+  for (const auto& it : read.changes) {
+    targets += it.target ? 1 : 0;
+    if (it.config) {
+      versions.push_back(it.config->version);
+    }
+  }
+  EXPECT_EQ(targets, 5U);
+  EXPECT_EQ(versions, std::vector<uint64_t>{5});
+}
+
 TEST_F(StoreApiTest, DistinguishesCompactedHistoryRefusalAndSilence) {
   const uint64_t start = api_->List("", false, seconds(1)).revision;
   store_.PutTarget(MakeRecord(7));
