Do not discard a large response that arrives steadily

Callers saw: requests reached targets up to 20 s after they had drained, and routes were missing (DRAIN, CONFIG), when a large configuration changed in quick succession while no relay served.

Cause: the time limit of a call held for the whole response. A watch returns all versions of the configuration since the last one, 334 KB each as text; at 10 Mbit/s, five of them take 1.3 s, and the limit was 0.5 s. The response was discarded, and the next watch from the same revision returned even more, until the store dropped the history after 20 s. Class: a retry that repeats all work, with a limit on the whole that grows with the lag.

Evidence: logs of 58 of 66 VMs show store-lost with no-answer while the store served, then a listing with a view that was up to 22.4 s old.

Change: the limit holds until the response begins; then each part has 0.5 s and the transfer 2 s. A watch that began and did not end leads to a listing, whose size is limited by the state and not by the lag. The clock that counts suspensions limits each step of a call, as the steady clock does.

--- a/src/discovery/store_follower.cc
+++ b/src/discovery/store_follower.cc
@@ -111,11 +111,12 @@
   StoreRead read = reader_.watch(watch_revision_, wait);
   if (read.status != ReadStatus::kOk) {
     DiscardOldListing();
-    if (read.status != ReadStatus::kHistoryGone) {
-      return read.status;
+    if (read.status == ReadStatus::kHistoryGone ||
+        read.status == ReadStatus::kIncomplete) {
+      watch_revision_ = 0;
     }
-    watch_revision_ = 0;
-    return ReadStatus::kOk;
+    return read.status == ReadStatus::kHistoryGone ? ReadStatus::kOk
+                                                   : read.status;
   }
   PublishOldListing();
   watch_revision_ = std::max(watch_revision_, read.revision);
--- a/src/discovery/store_follower.h
+++ b/src/discovery/store_follower.h
@@ -1,11 +1,13 @@
 // Keeps up with the platform's store: lists all entries once, then watches for
 // changes after the revision of the listing. The first listing may be some
 // seconds old, which is cheaper; it is used when a watch has brought it up to
-// date. Lists again when the store no
-// longer has that revision's history. In a fleet with relays, polls a relay for
-// changes in place of the store, and returns to the store as soon as the relay
-// does not answer or its view is too old. This class decides whom and when to
-// call, how long to wait and when to start over. Hooks make the calls.
+// date. Lists again when the store no longer has that revision's history, or
+// when the history was too large for a response: the next watch would return
+// even more, while the size of a listing is limited. In a fleet with relays,
+// polls a relay for changes in place of the store, and returns to the store as
+// soon as the relay does not answer or its view is too old. This class decides
+// whom and when to call, how long to wait and when to start over. Hooks make
+// the calls.
 #ifndef MARJORAMHALL_DISCOVERY_STORE_FOLLOWER_H_
 #define MARJORAMHALL_DISCOVERY_STORE_FOLLOWER_H_
 
@@ -27,7 +29,8 @@
   kHistoryGone,  // the watched revision is no longer available
   kRefused,      // the store returned an error status
   kUnreadable,   // the response could not be decoded
-  kNoAnswer,     // no connection, or no complete response in time
+  kNoAnswer,     // no connection, or no response in time
+  kIncomplete,   // the response began, but was too large or took too long
 };
 inline constexpr EnumName<ReadStatus> kReadStatusNames[] = {
     {ReadStatus::kOk, "ok"},
@@ -35,6 +38,7 @@
     {ReadStatus::kRefused, "refused"},
     {ReadStatus::kUnreadable, "unreadable"},
     {ReadStatus::kNoAnswer, "no-answer"},
+    {ReadStatus::kIncomplete, "incomplete"},
 };
 constexpr std::span<const EnumName<ReadStatus>> NamesOf(ReadStatus) {
   return kReadStatusNames;
--- a/src/net/http_client.cc
+++ b/src/net/http_client.cc
@@ -2,14 +2,17 @@
 // Boost.Beast parses the responses.
 #include "src/net/http_client.h"
 
+#include <algorithm>
 #include <array>
 #include <asio/buffer.hpp>
 #include <asio/io_context.hpp>
 #include <asio/ip/tcp.hpp>
 #include <asio/post.hpp>
 #include <asio/write.hpp>
+#include <atomic>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/string_body.hpp>
+#include <limits>
 #include <string_view>
 #include <utility>
 
@@ -20,6 +23,8 @@
 using asio::ip::tcp;
 
 constexpr size_t kReadBufferBytes = size_t{16} << 10;
+// Deadline while no operation is running.
+constexpr auto kNoDeadline = std::numeric_limits<Duration::rep>::max();
 
 }  // namespace
 
@@ -33,6 +38,7 @@
         socket_(io_) {}
 
   std::optional<HttpResponse> Get(const std::string& target, Duration timeout) {
+    response_began_ = false;
     if (!IsConnectionUsable() && !Connect()) {
       return std::nullopt;
     }
@@ -46,10 +52,18 @@
     return response;
   }
 
+  bool response_began() const { return response_began_; }
+
   void Cancel() {
     asio::post(io_, [this] { Close(); });
   }
 
+  void CancelIfOverdue() {
+    if (BootTimeNow().time_since_epoch().count() > boot_deadline_) {
+      Cancel();
+    }
+  }
+
  private:
   // Whether the connection is open and has no unread input. A connection that
   // the server closed while it was idle would make the next call fail.
@@ -100,10 +114,18 @@
     parser.body_limit(options_.max_body_bytes);
     parser.eager(true);
     std::string unparsed;  // received but not parsed
+    TimePoint transfer_end;
     while (!parser.is_done()) {
       const auto [ec, n] = RunUntilDone(deadline, [this](auto done) {
         socket_.async_read_some(asio::buffer(buf_), done);
       });
+      if (n > 0) {
+        const TimePoint now = SteadyNow();
+        if (!std::exchange(response_began_, true)) {
+          transfer_end = now + options_.max_transfer_time;
+        }
+        deadline = std::min(now + options_.stall_timeout, transfer_end);
+      }
       boost::beast::error_code parse_error;
       if (ec == asio::error::eof) {
         parser.put_eof(parse_error);  // fails unless the end is allowed here
@@ -131,7 +153,7 @@
   }
 
   // Starts an operation and runs it until it completes. Closes the connection
-  // if it has not completed at the deadline.
+  // if it has not completed at the deadline, by either clock.
   template <typename Start>
   std::pair<std::error_code, size_t> RunUntilDone(TimePoint deadline,
                                                   Start start) {
@@ -141,9 +163,12 @@
       result = {ec, n};
       is_done = true;
     });
+    const TimePoint boot_deadline = BootTimeNow() + (deadline - SteadyNow());
+    boot_deadline_ = boot_deadline.time_since_epoch().count();
     io_.restart();
     while (!is_done && io_.run_one_until(deadline) > 0) {
     }
+    boot_deadline_ = kNoDeadline;
     if (!is_done) {
       Close();
       while (!is_done && io_.run_one() > 0) {
@@ -164,6 +189,8 @@
   asio::io_context io_;
   tcp::socket socket_;
   std::array<char, kReadBufferBytes> buf_{};
+  bool response_began_ = false;                            // of the last Get()
+  std::atomic<Duration::rep> boot_deadline_{kNoDeadline};  // of BootTimeNow()
 };
 
 HttpClient::HttpClient(HttpClientOptions options)
@@ -176,8 +203,16 @@
   return impl_->Get(target, timeout);
 }
 
+bool HttpClient::response_began() const {
+  return impl_->response_began();
+}
+
 void HttpClient::Cancel() {
   impl_->Cancel();
 }
 
+void HttpClient::CancelIfOverdue() {
+  impl_->CancelIfOverdue();
+}
+
 }  // namespace marjoramhall::net
--- a/tests/discovery/store_follower_test.cc
+++ b/tests/discovery/store_follower_test.cc
@@ -70,6 +70,13 @@
   EXPECT_EQ(watched_after_, (std::vector<uint64_t>{10, 50}));
 }
 
+TEST_F(StoreFollowerTest, ListsWhenTheHistoryIsTooLargeForAWatch) {
+  answers_ = {Ok(10), Failed(ReadStatus::kIncomplete), Ok(50), Ok(50)};
+  Steps(4);
+  EXPECT_EQ(listings_.size(), 2U);
+  EXPECT_EQ(watched_after_, (std::vector<uint64_t>{10, 50}));
+}
+
 TEST_F(StoreFollowerTest, ResumesTheWatchAfterAFailure) {
   answers_ = {Ok(10), Ok(12, {MakeChange("a", 12)}),
               Failed(ReadStatus::kRefused), Ok(13)};
--- a/tests/net/http_client_test.cc
+++ b/tests/net/http_client_test.cc
@@ -222,6 +222,25 @@
   EXPECT_EQ(response->body.size(), 20U);
 }
 
+TEST(HttpClientTest, AResponseThatStallsOrNeverEndsIsIncomplete) {
+  ScriptedServer server({SlowBody(2, seconds(2)),
+                         SlowBody(1000, milliseconds(20)),
+                         [](tcp::socket& socket) {
+                           ReadRequest(socket);
+                           ReadRequest(socket);
+                         }});
+  HttpClientOptions options = server.Options();
+  options.stall_timeout = milliseconds(200);
+  options.max_transfer_time = milliseconds(600);
+  HttpClient client(options);
+  EXPECT_FALSE(client.Get("/", seconds(5)));
+  EXPECT_TRUE(client.response_began());
+  EXPECT_FALSE(client.Get("/", seconds(5)));
+  EXPECT_TRUE(client.response_began());
+  EXPECT_FALSE(client.Get("/", milliseconds(50)));
+  EXPECT_FALSE(client.response_began());
+}
+
 TEST(HttpClientTest, CancelEndsABlockedCall) {
   ScriptedServer server({[](tcp::socket& socket) {
     ReadRequest(socket);
