Detect a silent connection after the delay between watches in time

After changes a VM waits for a third of the bound before the next watch.

Change: the watch after a delay waits that much less. A relay is left as it is: its followers go by the age of its view.

Test: ADelayBeforeAWatchDoesNotHideASilentConnection, fails before the change.

--- a/src/app/store_thread.cc
+++ b/src/app/store_thread.cc
@@ -17,10 +17,10 @@
 // effect, divided by this. The rest of that time is for the call and one retry.
 constexpr int kBatchingDelayDivisor = 3;
 constexpr Duration kMaxBatchingDelay = std::chrono::seconds(2);
-// Time that a watch call waits for changes. A silent connection is detected,
-// and at once replaced, after this time plus the time limit of the answer. The
-// sum must stay below 4 s, for which the platform counts a VM with such a
-// connection as disturbed.
+// Time that a watch call waits for changes, with the delay before it. A silent
+// connection is detected, and at once replaced, after this time plus the time
+// limit of the answer. The sum must stay below 4 s, for which the platform
+// counts a VM with such a connection as disturbed.
 constexpr Duration kWatchTimeout = std::chrono::seconds(3);
 
 platform::StoreApiOptions StoreApiOptionsOf(const StoreThreadOptions& options,
--- a/src/discovery/store_follower.cc
+++ b/src/discovery/store_follower.cc
@@ -32,6 +32,7 @@
   const Duration delay = std::exchange(batching_delay_, Duration{0});
   if (delay > Duration{0}) {
     hooks_.sleep(delay);
+    last_batching_delay_ = delay;
   }
 }
 
@@ -103,9 +104,14 @@
 
 ReadStatus StoreFollower::Watch() {
   const bool is_relay = IsRelay();
+  const Duration last_delay = std::exchange(last_batching_delay_, Duration{0});
   Duration wait = options_.probe_wait;
   if (is_store_current_) {
-    wait = is_relay ? options_.relay_watch_wait : options_.watch_wait;
+    // The connection may have gone silent at the begin of the delay. A relay's
+    // view is checked by its age.
+    wait = is_relay ? options_.relay_watch_wait
+                    : std::max(options_.watch_wait - last_delay,
+                               options_.probe_wait);
   }
   const TimePoint started_at = hooks_.now();
   StoreRead read = reader_.watch(watch_revision_, wait);
--- a/src/discovery/store_follower.h
+++ b/src/discovery/store_follower.h
@@ -116,8 +116,8 @@
   // list_timeout in case the store is even slower. Calls of VMs that start
   // together then differ, so that some come soon after an outage ends.
   uint32_t long_timeout_interval = 3;
-  // Longest time that a watch waits for changes. A connection that stops
-  // responding is detected a little later.
+  // Longest time that a watch waits for changes, together with the delay before
+  // it. A connection that stops responding is detected a little later.
   Duration watch_wait = std::chrono::seconds(2);
   // The same for a watch after a failed call. The short wait shows at once
   // whether the store responds, and returns the changes missed meanwhile.
@@ -241,8 +241,9 @@
   uint64_t watch_revision_ = 0;   // 0 while a listing is needed
   uint64_t newest_revision_ = 0;  // passed to the hooks; 0 before the first
   TimePoint last_peer_query_;
-  Duration retry_delay_{0};     // 0 after a successful call
-  Duration batching_delay_{0};  // until the next call, after changes
+  Duration retry_delay_{0};          // 0 after a successful call
+  Duration batching_delay_{0};       // until the next call, after changes
+  Duration last_batching_delay_{0};  // before the next watch
   bool reachable_ = false;
   bool has_listed_ = false;  // List() has been called
   TimePoint confirmed_at_;
--- a/tests/discovery/store_follower_test.cc
+++ b/tests/discovery/store_follower_test.cc
@@ -70,6 +70,15 @@
   EXPECT_EQ(watched_after_, (std::vector<uint64_t>{10, 50}));
 }
 
+TEST_F(StoreFollowerTest, ADelayBeforeAWatchDoesNotHideASilentConnection) {
+  answers_ = {Ok(10), Ok(11), Ok(12, {MakeChange("a", 12)}), Ok(12), Ok(12)};
+  Steps(5);
+  const FollowerOptions options;
+  ASSERT_EQ(waits_.size(), 4U);
+  EXPECT_EQ(waits_[2], options.watch_wait - options.batching_delay);
+  EXPECT_EQ(waits_[3], options.watch_wait);
+}
+
 TEST_F(StoreFollowerTest, ListsWhenTheHistoryIsTooLargeForAWatch) {
   answers_ = {Ok(10), Failed(ReadStatus::kIncomplete), Ok(50), Ok(50)};
   Steps(4);
