Do not take a closed connection for a response

Found by the test of incomplete responses. A server that closed the connection after it had read the request, without a byte of response, was taken for a response with status 200 and an empty body: the parser accepts the end of input as the end of a response without length before anything was parsed.

Test: AClosedConnectionIsNoResponse, fails before the change.

--- a/src/net/http_client.cc
+++ b/src/net/http_client.cc
@@ -127,7 +127,7 @@
         deadline = std::min(now + options_.stall_timeout, transfer_end);
       }
       boost::beast::error_code parse_error;
-      if (ec == asio::error::eof) {
+      if (ec == asio::error::eof && response_began_) {
         parser.put_eof(parse_error);  // fails unless the end is allowed here
         if (!parse_error && parser.is_done()) {
           break;
--- a/tests/net/http_client_test.cc
+++ b/tests/net/http_client_test.cc
@@ -132,6 +132,12 @@
   EXPECT_TRUE(client.Get("/", seconds(5)));
 }
 
+TEST(HttpClientTest, AClosedConnectionIsNoResponse) {
+  ScriptedServer server({[](tcp::socket& socket) { ReadRequest(socket); }});
+  HttpClient client(server.Options());
+  EXPECT_FALSE(client.Get("/", seconds(5)));
+}
+
 TEST(HttpClientTest, RejectsATruncatedResponse) {
   ScriptedServer server(
       {[](tcp::socket& socket) {
