--- a/src/app/discovery_log.cc
+++ b/src/app/discovery_log.cc
@@ -8,7 +8,7 @@
 
 void LogViewUpdate(const DecisionHook& log_decision,
                    discovery::UpdateSource source,
-                   uint64_t revision,
+                   StorePosition position,
                    size_t entries,
                    std::optional<Duration> age) {
   std::string detail = std::to_string(entries) + " entries";
@@ -17,7 +17,8 @@
   }
   Decision decision;
   decision.kind = DecisionKind::kMembership;
-  decision.revision = revision;
+  decision.revision = position.revision;
+  decision.store_epoch = position.epoch;
   decision.outcome = "view-updated";
   decision.reason = NameOf(source);
   decision.detail = detail;
@@ -36,9 +37,21 @@
   log_decision(decision);
 }
 
+void LogRelisting(const DecisionHook& log_decision,
+                  StorePosition from,
+                  discovery::ReadStatus status) {
+  Decision decision;
+  decision.kind = DecisionKind::kMembership;
+  decision.revision = from.revision;
+  decision.store_epoch = from.epoch;
+  decision.outcome = "listing-again";
+  decision.reason = NameOf(status);
+  log_decision(decision);
+}
+
 void LogViewSource(const DecisionHook& log_decision,
                    discovery::ViewSource source,
-                   uint64_t revision,
+                   StorePosition position,
                    const Endpoint& relay,
                    std::optional<Duration> age) {
   std::string detail = relay.ToString();
@@ -47,7 +60,8 @@
   }
   Decision decision;
   decision.kind = DecisionKind::kMembership;
-  decision.revision = revision;
+  decision.revision = position.revision;
+  decision.store_epoch = position.epoch;
   decision.outcome =
       source == discovery::ViewSource::kRelay ? "relay-followed" : "relay-lost";
   decision.reason = age ? "answered" : "refused-or-silent";
--- a/src/app/discovery_log.h
+++ b/src/app/discovery_log.h
@@ -20,7 +20,7 @@
 // `age`: time since the view was confirmed, if there was one.
 void LogViewUpdate(const DecisionHook& log_decision,
                    discovery::UpdateSource source,
-                   uint64_t revision,
+                   StorePosition position,
                    size_t entries,
                    std::optional<Duration> age);
 
@@ -30,11 +30,16 @@
                        discovery::ReadStatus status,
                        uint64_t config_version);
 
+// The store has to be listed again, for the reason that the status gives.
+void LogRelisting(const DecisionHook& log_decision,
+                  StorePosition from,
+                  discovery::ReadStatus status);
+
 // The view of this VM comes from the store or from a relay from now on. `age`
 // is that of the relay's view if the relay answered.
 void LogViewSource(const DecisionHook& log_decision,
                    discovery::ViewSource source,
-                   uint64_t revision,
+                   StorePosition position,
                    const Endpoint& relay,
                    std::optional<Duration> age);
 
--- a/src/app/forward_process.cc
+++ b/src/app/forward_process.cc
@@ -70,11 +70,11 @@
   void OnListing(const discovery::Listing& listing,
                  discovery::UpdateSource source);
   void OnChanges(const std::vector<discovery::StoreChange>& changes,
-                 uint64_t revision,
+                 StorePosition position,
                  discovery::UpdateSource source);
   // Logs by which call this VM learnt of the changes that follow in the log.
   void LogUpdate(discovery::UpdateSource source,
-                 uint64_t revision,
+                 StorePosition position,
                  size_t entries) const;
   void OnConfirmed(TimePoint boot_time);
   void PublishView();
@@ -148,7 +148,7 @@
                    {kMaxPeerConnections, kPeerKeepAlive}),
       announcer_(io_,
                  PeerAnnouncerOptionsFor(settings),
-                 [this] { return registry_.revision(); }),
+                 [this] { return registry_.position().revision; }),
       seeds_(settings.forward.seeds) {
   AddForwardMetrics(
       metrics_, [this] { return path_.Snapshot(); }, MakeGauges());
@@ -244,9 +244,10 @@
     });
   };
   hooks.on_changes = [this](std::vector<discovery::StoreChange> changes,
-                            uint64_t revision, discovery::UpdateSource source) {
-    asio::post(io_, [this, changes = std::move(changes), revision, source] {
-      OnChanges(changes, revision, source);
+                            StorePosition position,
+                            discovery::UpdateSource source) {
+    asio::post(io_, [this, changes = std::move(changes), position, source] {
+      OnChanges(changes, position, source);
     });
   };
   hooks.on_confirmed = [this](TimePoint boot_time) {
@@ -259,10 +260,15 @@
                         registry_.config_version());
     });
   };
+  hooks.on_relisting = [this](StorePosition from,
+                              discovery::ReadStatus status) {
+    asio::post(io_,
+               [this, from, status] { LogRelisting(log_hook_, from, status); });
+  };
   hooks.on_source = [this](discovery::ViewSource source, const Endpoint& relay,
                            std::optional<Duration> age) {
     asio::post(io_, [this, source, relay, age] {
-      LogViewSource(log_hook_, source, registry_.revision(), relay, age);
+      LogViewSource(log_hook_, source, registry_.position(), relay, age);
     });
   };
   hooks.on_call = AddStoreMetrics(metrics_);
@@ -286,33 +292,33 @@
 
 void ForwardProcess::Impl::OnListing(const discovery::Listing& listing,
                                      discovery::UpdateSource source) {
-  LogUpdate(source, listing.revision, listing.items.size());
+  LogUpdate(source, listing.position, listing.items.size());
   registry_.ApplyListing(listing, SteadyNow());
-  relay_.OnListing(registry_.revision());
+  relay_.OnListing(registry_.position());
   PublishView();
 }
 
 void ForwardProcess::Impl::OnChanges(
     const std::vector<discovery::StoreChange>& changes,
-    uint64_t revision,
+    StorePosition position,
     discovery::UpdateSource source) {
   if (!changes.empty()) {
-    LogUpdate(source, revision, changes.size());
+    LogUpdate(source, position, changes.size());
   }
-  relay_.OnChanges(changes, revision);
-  if (registry_.ApplyChanges(changes, revision, SteadyNow())) {
+  relay_.OnChanges(changes, position);
+  if (registry_.ApplyChanges(changes, position, SteadyNow())) {
     PublishView();
   }
 }
 
 void ForwardProcess::Impl::LogUpdate(discovery::UpdateSource source,
-                                     uint64_t revision,
+                                     StorePosition position,
                                      size_t entries) const {
   std::optional<Duration> age;
-  if (registry_.revision() > 0) {
+  if (registry_.position().revision > 0) {
     age = SteadyNow() - confirmed_at_;
   }
-  LogViewUpdate(log_hook_, source, revision, entries, age);
+  LogViewUpdate(log_hook_, source, position, entries, age);
 }
 
 void ForwardProcess::Impl::OnConfirmed(TimePoint boot_time) {
--- a/src/app/relay_service.cc
+++ b/src/app/relay_service.cc
@@ -22,10 +22,16 @@
 }
 
 // Returns 0 for a text that is no number.
-uint64_t ParseRevision(const std::string& text) {
-  uint64_t revision = 0;
-  std::from_chars(text.data(), text.data() + text.size(), revision);
-  return revision;
+uint64_t ParseNumber(const std::string& text) {
+  uint64_t number = 0;
+  std::from_chars(text.data(), text.data() + text.size(), number);
+  return number;
+}
+
+StorePosition ParsePosition(const net::QueryParameter& query,
+                            const char* revision_parameter) {
+  return {ParseNumber(query(net::kEpochParameter)),
+          ParseNumber(query(revision_parameter))};
 }
 
 }  // namespace
@@ -48,7 +54,7 @@
   discovery::ChangeRelay::State state = hooks_.state();
   state.confirmed_at = confirmed_at_;
   const auto answer =
-      relay_.Poll(ParseRevision(query(net::kAfterParameter)), state, now);
+      relay_.Poll(ParsePosition(query, net::kAfterParameter), state, now);
   if (relay_.IsPolled(now)) {
     polled_until_ =
         (now + relay_.options().idle_after).time_since_epoch().count();
@@ -63,16 +69,17 @@
 
 net::StatusResponse RelayService::AnswerSnapshot(
     const net::QueryParameter& query) {
-  const uint64_t newer_than = ParseRevision(query(net::kNewerThanParameter));
+  const StorePosition newer_than =
+      ParsePosition(query, net::kNewerThanParameter);
   if (!hooks_.state().has_view) {
     return {kHttpUnavailable, ""};
   }
-  if (relay_.revision() <= newer_than) {
+  if (relay_.position() <= newer_than) {
     return {kHttpOk, ""};
   }
-  if (snapshot_revision_ != relay_.revision()) {
+  if (snapshot_position_ != relay_.position()) {
     encoded_snapshot_ = discovery::EncodeSnapshot(hooks_.snapshot());
-    snapshot_revision_ = relay_.revision();
+    snapshot_position_ = relay_.position();
   }
   return {kHttpOk, encoded_snapshot_};
 }
@@ -89,7 +96,8 @@
                              MillisecondsText(age) + " ago";
   Decision decision;
   decision.kind = DecisionKind::kMembership;
-  decision.revision = relay_.revision();
+  decision.revision = relay_.position().revision;
+  decision.store_epoch = relay_.position().epoch;
   decision.outcome = refusal == discovery::RelayRefusal::kNone
                          ? "relay-serving"
                          : "relay-refusing";
--- a/src/app/relay_service.h
+++ b/src/app/relay_service.h
@@ -5,7 +5,6 @@
 #define MARJORAMHALL_APP_RELAY_SERVICE_H_
 
 #include <atomic>
-#include <cstdint>
 #include <functional>
 #include <map>
 #include <optional>
@@ -34,10 +33,10 @@
   // `bound`: the time within which a change must take effect.
   RelayService(Duration bound, Hooks hooks, observe::MetricsRegistry& metrics);
 
-  void OnListing(uint64_t revision) { relay_.OnListing(revision); }
+  void OnListing(StorePosition position) { relay_.OnListing(position); }
   void OnChanges(const std::vector<discovery::StoreChange>& changes,
-                 uint64_t revision) {
-    relay_.OnChanges(changes, revision, BootTimeNow());
+                 StorePosition position) {
+    relay_.OnChanges(changes, position, BootTimeNow());
   }
   // Must be called after the changes that were confirmed have been passed in.
   void OnConfirmed(TimePoint boot_time) { confirmed_at_ = boot_time; }
@@ -60,8 +59,8 @@
   discovery::RelayRefusal last_refusal_ = discovery::RelayRefusal::kFewPeers;
   // Until when other VMs depend on this one, in BootTimeNow().
   std::atomic<Duration::rep> polled_until_{0};
-  std::string encoded_snapshot_;  // at snapshot_revision_
-  uint64_t snapshot_revision_ = 0;
+  std::string encoded_snapshot_;  // at snapshot_position_
+  StorePosition snapshot_position_;
 };
 
 }  // namespace marjoramhall::app
--- a/src/app/store_thread.cc
+++ b/src/app/store_thread.cc
@@ -73,11 +73,11 @@
 
 discovery::StoreReader StoreThread::Reader() {
   discovery::StoreReader reader = store_.Reader();
-  reader.query_peers = [this](uint64_t newer_than) {
+  reader.query_peers = [this](StorePosition newer_than) {
     return QueryPeers(newer_than);
   };
   reader.relay_count = [this] { return Relays().size(); };
-  reader.poll_relay = [this](size_t choice, uint64_t after) {
+  reader.poll_relay = [this](size_t choice, StorePosition after) {
     return PollRelay(choice, after);
   };
   return reader;
@@ -89,6 +89,7 @@
   hooks.on_changes = hooks_.on_changes;
   hooks.on_confirmed = hooks_.on_confirmed;
   hooks.on_reachable = hooks_.on_reachable;
+  hooks.on_relisting = hooks_.on_relisting;
   hooks.on_source = [this](discovery::ViewSource source, size_t choice,
                            std::optional<Duration> age) {
     const std::vector<Endpoint> relays = Relays();
@@ -109,8 +110,9 @@
   return relays;
 }
 
-std::optional<discovery::ChangeSet> StoreThread::PollRelay(size_t choice,
-                                                           uint64_t after) {
+std::optional<discovery::ChangeSet> StoreThread::PollRelay(
+    size_t choice,
+    StorePosition after) {
   const std::vector<Endpoint> relays = Relays();
   if (relays.empty()) {
     return std::nullopt;
@@ -126,7 +128,8 @@
   return set;
 }
 
-std::optional<discovery::Listing> StoreThread::QueryPeers(uint64_t newer_than) {
+std::optional<discovery::Listing> StoreThread::QueryPeers(
+    StorePosition newer_than) {
   std::vector<Endpoint> peers = hooks_.peers();
   std::erase(peers, options_.own_snapshot);
   const auto bytes = net::FetchSnapshot(peers, newer_than);
--- a/src/app/store_thread.h
+++ b/src/app/store_thread.h
@@ -31,11 +31,13 @@
 struct StoreThreadHooks {
   std::function<void(discovery::Listing, discovery::UpdateSource)> on_listing;
   std::function<void(std::vector<discovery::StoreChange>,
-                     uint64_t revision,
+                     StorePosition position,
                      discovery::UpdateSource)>
       on_changes;
   std::function<void(TimePoint boot_time)> on_confirmed;
   std::function<void(bool reachable, discovery::ReadStatus)> on_reachable;
+  // The store has to be listed again (StoreFollower::Hooks::on_relisting).
+  std::function<void(StorePosition from, discovery::ReadStatus)> on_relisting;
   // The view comes from the store or from a relay from now on. `age` is that of
   // the relay's view if the relay answered.
   std::function<void(discovery::ViewSource,
@@ -71,10 +73,11 @@
  private:
   discovery::StoreReader Reader();
   discovery::StoreFollower::Hooks FollowerHooks();
-  std::optional<discovery::Listing> QueryPeers(uint64_t newer_than);
+  std::optional<discovery::Listing> QueryPeers(StorePosition newer_than);
   // The VMs that may relay changes to this one.
   std::vector<Endpoint> Relays() const;
-  std::optional<discovery::ChangeSet> PollRelay(size_t choice, uint64_t after);
+  std::optional<discovery::ChangeSet> PollRelay(size_t choice,
+                                                StorePosition after);
   void Sleep(Duration span);
 
   const StoreThreadOptions options_;
--- a/src/base/decision.h
+++ b/src/base/decision.h
@@ -55,6 +55,9 @@
   TargetId target = TargetId::kNone;
   VmId vm = VmId::kNone;
   Revision revision = 0;
+  // Number of the store's history to which the revision belongs, if it is one
+  // of the platform's store.
+  uint64_t store_epoch = 0;
   // What was decided and why. Both come from a fixed set of short phrases.
   BorrowedText outcome;
   BorrowedText reason;
--- a/src/discovery/change_relay.cc
+++ b/src/discovery/change_relay.cc
@@ -10,29 +10,29 @@
                          std::function<Listing()> snapshot)
     : options_(options), snapshot_(std::move(snapshot)) {}
 
-void ChangeRelay::OnListing(uint64_t revision) {
+void ChangeRelay::OnListing(StorePosition position) {
   history_.clear();
-  revision_ = std::max(revision_, revision);
-  floor_ = revision_;
+  position_ = std::max(position_, position);
+  floor_ = position_;
 }
 
 void ChangeRelay::OnChanges(const std::vector<StoreChange>& changes,
-                            uint64_t revision,
+                            StorePosition position,
                             TimePoint now) {
   for (const StoreChange& it : changes) {
     // Other keys are of no use to a follower.
-    if (it.revision > revision_ && (it.is_target || it.config)) {
+    if (it.position > position_ && (it.is_target || it.config)) {
       history_.push_back({it, now});
     }
   }
-  revision_ = std::max(revision_, revision);
+  position_ = std::max(position_, position);
   while (history_.size() > options_.max_history) {
-    floor_ = history_.front().change.revision;
+    floor_ = history_.front().change.position;
     history_.pop_front();
   }
 }
 
-ChangeRelay::Answer ChangeRelay::Poll(uint64_t after,
+ChangeRelay::Answer ChangeRelay::Poll(StorePosition after,
                                       const State& state,
                                       TimePoint now) {
   if (state.stopping) {
@@ -45,21 +45,24 @@
   if (!state.has_view) {
     return {RelayRefusal::kNoView, std::nullopt};
   }
+  if (after.epoch > position_.epoch) {
+    return {RelayRefusal::kOlderEpoch, std::nullopt};
+  }
   ChangeSet set;
   set.age = std::max(now - state.confirmed_at, Duration{0});
   if (set.age > options_.max_age) {
     return {RelayRefusal::kUnconfirmed, std::nullopt};
   }
-  set.revision = revision_;
+  set.position = position_;
   if (after < floor_) {
     Listing all = snapshot_();
     set.complete = true;
-    set.revision = all.revision;
+    set.position = all.position;
     set.changes = std::move(all.items);
     return {RelayRefusal::kNone, std::move(set)};
   }
   for (const HistoryEntry& it : history_) {
-    if (it.change.revision <= after) {
+    if (it.change.position <= after) {
       continue;
     }
     set.changes.push_back(it.change);
--- a/src/discovery/change_relay.h
+++ b/src/discovery/change_relay.h
@@ -54,6 +54,7 @@
   kNoView,       // nothing is known yet
   kFewPeers,     // the fleet is too small for relays
   kUnconfirmed,  // the store has not confirmed the view for too long
+  kOlderEpoch,   // the VM that asks knows a later epoch of the store
 };
 inline constexpr EnumName<RelayRefusal> kRelayRefusalNames[] = {
     {RelayRefusal::kNone, "none"},
@@ -61,6 +62,7 @@
     {RelayRefusal::kNoView, "no-view"},
     {RelayRefusal::kFewPeers, "few-peers"},
     {RelayRefusal::kUnconfirmed, "unconfirmed"},
+    {RelayRefusal::kOlderEpoch, "older-epoch"},
 };
 constexpr std::span<const EnumName<RelayRefusal>> NamesOf(RelayRefusal) {
   return kRelayRefusalNames;
@@ -81,28 +83,28 @@
     std::optional<ChangeSet> set;
   };
 
-  // `snapshot` returns all entries at the revision of the last change.
+  // `snapshot` returns all entries at the position of the last change.
   ChangeRelay(ChangeRelayOptions options, std::function<Listing()> snapshot);
 
   // All times are of a clock that also advances while the VM is suspended: a
   // view must not look fresh because its VM did not run.
 
-  // All entries were replaced by those at a revision.
-  void OnListing(uint64_t revision);
+  // All entries were replaced by those at a position.
+  void OnListing(StorePosition position);
   void OnChanges(const std::vector<StoreChange>& changes,
-                 uint64_t revision,
+                 StorePosition position,
                  TimePoint now);
 
   // Returns what a VM with all changes up to `after` lacks.
   // Cost: linear in the number of changes kept, or of entries.
-  Answer Poll(uint64_t after, const State& state, TimePoint now);
+  Answer Poll(StorePosition after, const State& state, TimePoint now);
 
   // Whether other VMs depend on this one. The relay then confirms its view with
   // the store more often.
   bool IsPolled(TimePoint now) const;
 
-  // All changes up to this revision have been passed in.
-  uint64_t revision() const { return revision_; }
+  // All changes up to this position have been passed in.
+  StorePosition position() const { return position_; }
   const ChangeRelayOptions& options() const { return options_; }
 
  private:
@@ -113,10 +115,11 @@
 
   const ChangeRelayOptions options_;
   const std::function<Listing()> snapshot_;
-  // All changes after floor_ and up to revision_, ordered by revision.
+  // All changes after floor_ and up to position_, ordered by position and of
+  // one epoch.
   std::deque<HistoryEntry> history_;
-  uint64_t floor_ = 0;
-  uint64_t revision_ = 0;                  // never decreases
+  StorePosition floor_;
+  StorePosition position_;                 // never decreases
   std::optional<TimePoint> last_poll_at_;  // by a VM of a fleet with relays
 };
 
--- a/src/discovery/records.h
+++ b/src/discovery/records.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "src/base/endpoint.h"
+#include "src/base/store_position.h"
 #include "src/base/time.h"
 #include "src/forward/view.h"
 
@@ -20,6 +21,10 @@
   // Unix time at which the target started, or 0 when the entry lacks it. A
   // target that restarts under the same id has a later start time.
   int64_t start_time_ms = 0;
+  // Counts the reports of the target about itself since its start, or 0 when
+  // the entry lacks it. It orders two entries of a target even if the store has
+  // been restored from a copy in between.
+  uint64_t sequence = 0;
   std::string service;
   Endpoint address;
   std::string failure_domain;
@@ -31,6 +36,8 @@
 struct ShareRecord {
   std::string service;
   uint32_t weight = 1;
+
+  bool operator==(const ShareRecord&) const = default;
 };
 
 struct RouteRecord {
@@ -41,19 +48,23 @@
   uint32_t priority = 0;
   Duration timeout{0};
   Duration latency_objective{0};
+
+  bool operator==(const RouteRecord&) const = default;
 };
 
 struct ConfigRecord {
   uint64_t version = 0;
   std::vector<RouteRecord> routes;
   Duration flow_idle_timeout{0};
+
+  bool operator==(const ConfigRecord&) const = default;
 };
 
 // One decoded change of the store. Has neither a target nor a configuration
 // when the key is of another kind.
 struct StoreChange {
   std::string key;
-  uint64_t revision = 0;  // of this change
+  StorePosition position;  // of this change
   bool removed = false;
   bool is_target = false;              // the key belongs to a target
   std::optional<TargetRecord> target;  // empty if removed or unreadable
--- a/src/discovery/snapshot_codec.cc
+++ b/src/discovery/snapshot_codec.cc
@@ -23,7 +23,8 @@
 void Encode(const StoreChange& item, protocol::TargetState* out) {
   const TargetRecord& target = *item.target;
   out->set_key(item.key);
-  out->set_revision(item.revision);
+  out->set_epoch(item.position.epoch);
+  out->set_revision(item.position.revision);
   out->set_id(target.id);
   out->set_instance(target.instance);
   out->set_born_ms(target.start_time_ms);
@@ -35,6 +36,7 @@
   out->set_draining(target.draining);
   out->set_warm_up_left_us(
       static_cast<uint64_t>(std::max<int64_t>(0, target.warm_up_left.count())));
+  out->set_sequence(target.sequence);
 }
 
 void Encode(const ConfigRecord& config, protocol::Snapshot* out) {
@@ -62,7 +64,7 @@
 StoreChange Decode(const protocol::TargetState& target) {
   StoreChange item;
   item.key = target.key();
-  item.revision = target.revision();
+  item.position = {target.epoch(), target.revision()};
   item.is_target = true;
   TargetRecord record;
   record.id = target.id();
@@ -75,6 +77,7 @@
   record.draining = target.draining();
   record.warm_up_left =
       Duration{static_cast<int64_t>(target.warm_up_left_us())};
+  record.sequence = target.sequence();
   item.target = std::move(record);
   return item;
 }
@@ -112,13 +115,14 @@
     if (it.target) {
       Encode(it, out->add_targets());
     } else if (it.config && (newest == nullptr ||
-                             it.config->version > newest->config->version)) {
+                             it.config->version >= newest->config->version)) {
       newest = &it;
     }
   }
   if (newest != nullptr) {
     Encode(*newest->config, out);
-    out->set_config_revision(newest->revision);
+    out->set_config_epoch(newest->position.epoch);
+    out->set_config_revision(newest->position.revision);
   }
 }
 
@@ -127,7 +131,7 @@
             std::vector<StoreChange>* items) {
   if (message.config_version() > 0) {
     StoreChange config;
-    config.revision = message.config_revision();
+    config.position = {message.config_epoch(), message.config_revision()};
     config.config = DecodeConfig(message);
     items->push_back(std::move(config));
   }
@@ -148,7 +152,8 @@
 
 std::string EncodeSnapshot(const Listing& listing) {
   protocol::Snapshot message;
-  message.set_revision(listing.revision);
+  message.set_epoch(listing.position.epoch);
+  message.set_revision(listing.position.revision);
   Encode(listing.items, &message);
   return message.SerializeAsString();
 }
@@ -160,14 +165,15 @@
     return std::nullopt;
   }
   Listing listing;
-  listing.revision = message.revision();
+  listing.position = {message.epoch(), message.revision()};
   Decode(message, &listing.items);
   return listing;
 }
 
 std::string EncodeChangeSet(const ChangeSet& set) {
   protocol::ChangeSet message;
-  message.set_revision(set.revision);
+  message.set_epoch(set.position.epoch);
+  message.set_revision(set.position.revision);
   message.set_age_us(static_cast<uint64_t>(set.age.count()));
   message.set_complete(set.complete);
   Encode(set.changes, message.mutable_changes());
@@ -175,7 +181,8 @@
     if (it.is_target && !it.target) {
       protocol::TargetRemoval* removal = message.add_removals();
       removal->set_key(it.key);
-      removal->set_revision(it.revision);
+      removal->set_epoch(it.position.epoch);
+      removal->set_revision(it.position.revision);
       removal->set_unreadable(!it.removed);
     }
   }
@@ -189,7 +196,7 @@
     return std::nullopt;
   }
   ChangeSet set;
-  set.revision = message.revision();
+  set.position = {message.epoch(), message.revision()};
   set.age = Duration{static_cast<int64_t>(
       std::min(message.age_us(),
                static_cast<uint64_t>(std::numeric_limits<int64_t>::max())))};
@@ -198,14 +205,14 @@
   for (const protocol::TargetRemoval& it : message.removals()) {
     StoreChange removal;
     removal.key = it.key();
-    removal.revision = it.revision();
+    removal.position = {it.epoch(), it.revision()};
     removal.is_target = true;
     removal.removed = !it.unreadable();
     set.changes.push_back(std::move(removal));
   }
   std::stable_sort(set.changes.begin(), set.changes.end(),
                    [](const StoreChange& a, const StoreChange& b) {
-                     return a.revision < b.revision;
+                     return a.position < b.position;
                    });
   return set;
 }
--- a/src/discovery/snapshot_codec.h
+++ b/src/discovery/snapshot_codec.h
@@ -12,18 +12,18 @@
 
 namespace marjoramhall::discovery {
 
-// All targets and the configuration at a revision of the store.
+// All targets and the configuration at a position of the store.
 struct Listing {
   std::vector<StoreChange> items;
-  uint64_t revision = 0;
+  StorePosition position;
 };
 
-// What a relay knows beyond the revision of the VM that asks.
+// What a relay knows beyond the position of the VM that asks.
 struct ChangeSet {
-  // Ordered by revision. If `complete`, these are all entries.
+  // Ordered by position. If `complete`, these are all entries.
   std::vector<StoreChange> changes;
-  uint64_t revision = 0;  // contains all changes up to this one
-  // Time since the store confirmed that nothing had changed after `revision`.
+  StorePosition position;  // contains all changes up to this one
+  // Time since the store confirmed that nothing had changed after `position`.
   Duration age{0};
   bool complete = false;
 };
--- a/src/discovery/store_follower.cc
+++ b/src/discovery/store_follower.cc
@@ -28,7 +28,7 @@
   if (MayPollRelay() && (PollRelay() || AwaitNextPoll())) {
     return;
   }
-  OnStatus(watch_revision_ == 0 ? List() : Watch());
+  OnStatus(watched_.revision == 0 ? List() : Watch());
   const Duration delay = std::exchange(batching_delay_, Duration{0});
   if (delay > Duration{0}) {
     hooks_.sleep(delay);
@@ -39,21 +39,49 @@
 ReadStatus StoreFollower::List() {
   const bool is_first = !std::exchange(has_listed_, true);
   const bool use_long_timeout =
-      newest_revision_ > 0 ||
+      newest_.revision > 0 ||
       (!is_first && NextRandom() % options_.long_timeout_interval == 0);
   const Duration timeout =
       use_long_timeout ? options_.list_timeout : options_.initial_list_timeout;
   // Only a VM that knows nothing may use an old listing: it would take any
   // other back to targets that have left.
-  const bool may_be_old = newest_revision_ == 0 && may_list_old_;
+  const bool may_be_old = newest_.revision == 0 && may_list_old_;
+  const ReadStatus status = ListPages(may_be_old, timeout);
+  if (status != ReadStatus::kOk) {
+    return status;
+  }
+  PartialListing complete = std::exchange(partial_, PartialListing{});
+  watched_ = complete.position;
+  if (may_be_old) {
+    old_listing_ = Listing{std::move(complete.items), watched_};
+    return Watch();
+  }
+  newest_ = std::max(newest_, watched_);
+  hooks_.on_listing({std::move(complete.items), watched_},
+                    UpdateSource::kListing);
+  Confirm(complete.started_at);
+  return ReadStatus::kOk;
+}
+
+ReadStatus StoreFollower::ListPages(bool may_be_old, Duration timeout) {
   for (;;) {
-    if (partial_.items_revision == 0) {
+    if (partial_.position.revision == 0) {
       partial_.started_at = hooks_.now();
     }
     StoreRead page = reader_.list(partial_.after, may_be_old, timeout);
     if (page.status != ReadStatus::kOk) {
       return page.status;
     }
+    if (page.position.epoch < watched_.epoch) {
+      return ReadStatus::kOutdated;
+    }
+    const bool is_restored = page.position.epoch > watched_.epoch;
+    watched_.epoch = page.position.epoch;
+    if (is_restored && partial_.position.revision > 0) {
+      // The pages so far show entries that the store may have lost.
+      partial_ = PartialListing{};
+      continue;
+    }
     if (page.has_more && page.last_key <= partial_.after) {
       // The response belongs to another call.
       partial_ = PartialListing{};
@@ -64,31 +92,19 @@
     // The pages may show different revisions, and a later one may be older if
     // pages may be old. The watch starts at the lowest, so that it returns all
     // changes that a page lacks.
-    if (partial_.items_revision == 0 ||
-        page.revision < partial_.items_revision) {
-      partial_.items_revision = page.revision;
+    if (partial_.position.revision == 0 || page.position < partial_.position) {
+      partial_.position = page.position;
     }
     if (!page.has_more) {
-      break;
+      return ReadStatus::kOk;
     }
     partial_.after = page.last_key;
   }
-  PartialListing complete = std::exchange(partial_, PartialListing{});
-  watch_revision_ = complete.items_revision;
-  if (may_be_old) {
-    old_listing_ = Listing{std::move(complete.items), watch_revision_};
-    return Watch();
-  }
-  newest_revision_ = std::max(newest_revision_, watch_revision_);
-  hooks_.on_listing({std::move(complete.items), watch_revision_},
-                    UpdateSource::kListing);
-  Confirm(complete.started_at);
-  return ReadStatus::kOk;
 }
 
 void StoreFollower::PublishOldListing() {
   if (old_listing_) {
-    newest_revision_ = watch_revision_;
+    newest_ = watched_;
     hooks_.on_listing(*std::exchange(old_listing_, std::nullopt),
                       UpdateSource::kListing);
   }
@@ -97,7 +113,7 @@
 void StoreFollower::DiscardOldListing() {
   if (old_listing_) {
     old_listing_.reset();
-    watch_revision_ = 0;
+    watched_.revision = 0;
     may_list_old_ = false;
   }
 }
@@ -114,23 +130,32 @@
                                options_.probe_wait);
   }
   const TimePoint started_at = hooks_.now();
-  StoreRead read = reader_.watch(watch_revision_, wait);
+  StoreRead read = reader_.watch(watched_.revision, wait);
+  if (read.status == ReadStatus::kOk) {
+    // The revisions of the events say nothing of those that are watched if the
+    // store has been restored: it may have given them out again.
+    if (read.position.epoch > watched_.epoch) {
+      read.status = ReadStatus::kRestored;
+    } else if (read.position.epoch < watched_.epoch) {
+      read.status = ReadStatus::kOutdated;
+    }
+  }
   if (read.status != ReadStatus::kOk) {
     DiscardOldListing();
-    if (read.status == ReadStatus::kHistoryGone ||
+    if (read.status == ReadStatus::kRestored ||
+        read.status == ReadStatus::kHistoryGone ||
         read.status == ReadStatus::kIncomplete) {
-      watch_revision_ = 0;
+      StartOver(read.status);
+      watched_.epoch = std::max(watched_.epoch, read.position.epoch);
     }
-    return read.status == ReadStatus::kHistoryGone ? ReadStatus::kOk
-                                                   : read.status;
+    return read.status;
   }
   PublishOldListing();
-  watch_revision_ = std::max(watch_revision_, read.revision);
-  newest_revision_ = std::max(newest_revision_, watch_revision_);
+  watched_ = std::max(watched_, read.position);
+  newest_ = std::max(newest_, watched_);
   const bool has_changes = !read.changes.empty();
   if (has_changes) {
-    hooks_.on_changes(std::move(read.changes), watch_revision_,
-                      UpdateSource::kWatch);
+    hooks_.on_changes(std::move(read.changes), watched_, UpdateSource::kWatch);
   }
   const TimePoint ended_at = hooks_.now();
   Confirm(ended_at - started_at > wait + options_.max_response_time ? started_at
@@ -142,8 +167,16 @@
   return ReadStatus::kOk;
 }
 
+void StoreFollower::StartOver(ReadStatus status) {
+  hooks_.on_relisting(watched_, status);
+  watched_.revision = 0;
+  partial_ = PartialListing{};
+}
+
 void StoreFollower::OnStatus(ReadStatus status) {
-  const bool ok = status == ReadStatus::kOk;
+  const bool ok = status == ReadStatus::kOk ||
+                  status == ReadStatus::kHistoryGone ||
+                  status == ReadStatus::kRestored;
   const bool is_change = ok != reachable_;
   if (is_change) {
     reachable_ = ok;
@@ -154,25 +187,25 @@
     retry_delay_ = Duration{0};
     return;
   }
-  if (newest_revision_ == 0 || !is_change) {
+  if (newest_.revision == 0 || !is_change) {
     QueryPeers();
   }
   hooks_.sleep(NextDelay(&retry_delay_, options_.min_retry_delay,
-                         newest_revision_ > 0
+                         newest_.revision > 0
                              ? options_.max_retry_delay
                              : options_.max_initial_retry_delay));
 }
 
 bool StoreFollower::MayPollRelay() const {
   // A relay reads the store itself, so that no two VMs follow each other.
-  return reader_.poll_relay && watch_revision_ > 0 && !IsRelay() &&
+  return reader_.poll_relay && watched_.revision > 0 && !IsRelay() &&
          hooks_.now() >= next_relay_poll_at_ && reader_.relay_count() > 0;
 }
 
 bool StoreFollower::PollRelay() {
   for (;;) {
     const TimePoint started_at = hooks_.now();
-    auto set = reader_.poll_relay(relay_choice_, watch_revision_);
+    auto set = reader_.poll_relay(relay_choice_, watched_);
     if (!set) {
       OnRelayRefused(std::nullopt);
     } else if (AcceptRelay(*std::move(set), started_at)) {
@@ -200,7 +233,10 @@
   // The relay may have been suspended after it measured the age.
   const TimePoint confirmed_at = started_at - set.age;
   const Duration age = hooks_.now() - confirmed_at;
-  if (age > options_.max_relay_age) {
+  const bool is_comparable =
+      set.position.epoch == watched_.epoch ||
+      (set.position.epoch > watched_.epoch && set.complete);
+  if (age > options_.max_relay_age || !is_comparable) {
     OnRelayRefused(age);
     return false;
   }
@@ -209,14 +245,14 @@
   relay_retry_delay_ = Duration{0};
   SetSource(ViewSource::kRelay, age);
   // A relay that lags behind this VM has nothing new.
-  if (set.revision > watch_revision_) {
-    watch_revision_ = set.revision;
-    newest_revision_ = std::max(newest_revision_, watch_revision_);
+  if (set.position > watched_) {
+    watched_ = set.position;
+    newest_ = std::max(newest_, watched_);
     if (set.complete) {
-      hooks_.on_listing({std::move(set.changes), set.revision},
+      hooks_.on_listing({std::move(set.changes), set.position},
                         UpdateSource::kRelay);
     } else {
-      hooks_.on_changes(std::move(set.changes), set.revision,
+      hooks_.on_changes(std::move(set.changes), set.position,
                         UpdateSource::kRelay);
     }
   }
@@ -254,17 +290,20 @@
 void StoreFollower::QueryPeers() {
   const TimePoint now = hooks_.now();
   if (!reader_.query_peers ||
-      (newest_revision_ > 0 &&
+      (newest_.revision > 0 &&
        now - last_peer_query_ < options_.peer_query_interval)) {
     return;
   }
   last_peer_query_ = now;
-  auto listing = reader_.query_peers(newest_revision_);
-  if (listing && listing->revision > newest_revision_) {
+  // The store may have shown a later epoch than the view's.
+  const StorePosition known =
+      std::max(newest_, StorePosition{watched_.epoch, 0});
+  auto listing = reader_.query_peers(known);
+  if (listing && listing->position > known) {
     // Watches from the peer's revision without listing the store: hundreds of
     // VMs that start together request more pages than the store can return.
-    newest_revision_ = listing->revision;
-    watch_revision_ = listing->revision;
+    newest_ = listing->position;
+    watched_ = listing->position;
     partial_ = PartialListing{};
     hooks_.on_listing(*std::move(listing), UpdateSource::kSnapshot);
   }
--- a/src/discovery/store_follower.h
+++ b/src/discovery/store_follower.h
@@ -2,12 +2,13 @@
 // changes after the revision of the listing. The first listing may be some
 // seconds old, which is cheaper; it is used when a watch has brought it up to
 // date. Lists again when the store no longer has that revision's history, or
-// when the history was too large for a response: the next watch would return
-// even more, while the size of a listing is limited. In a fleet with relays,
-// polls a relay for changes in place of the store, and returns to the store as
-// soon as the relay does not answer or its view is too old. This class decides
-// whom and when to call, how long to wait and when to start over. Hooks make
-// the calls.
+// has been restored from an older copy: a watch would miss what the copy lacks
+// and what was written before it. Also lists again when the history was too
+// large for a response: the next watch would return even more, while the size
+// of a listing is limited. In a fleet with relays, polls a relay for changes in
+// place of the store, and returns to the store as soon as the relay does not
+// answer or its view is too old. This class decides whom and when to call, how
+// long to wait and when to start over. Hooks make the calls.
 #ifndef MARJORAMHALL_DISCOVERY_STORE_FOLLOWER_H_
 #define MARJORAMHALL_DISCOVERY_STORE_FOLLOWER_H_
 
@@ -27,6 +28,8 @@
 enum class ReadStatus {
   kOk,
   kHistoryGone,  // the watched revision is no longer available
+  kRestored,     // the store has begun a new epoch since the watched revision
+  kOutdated,     // the response is of an epoch that the store has left
   kRefused,      // the store returned an error status
   kUnreadable,   // the response could not be decoded
   kNoAnswer,     // no connection, or no response in time
@@ -35,6 +38,8 @@
 inline constexpr EnumName<ReadStatus> kReadStatusNames[] = {
     {ReadStatus::kOk, "ok"},
     {ReadStatus::kHistoryGone, "history-gone"},
+    {ReadStatus::kRestored, "restored"},
+    {ReadStatus::kOutdated, "outdated"},
     {ReadStatus::kRefused, "refused"},
     {ReadStatus::kUnreadable, "unreadable"},
     {ReadStatus::kNoAnswer, "no-answer"},
@@ -47,7 +52,7 @@
 struct StoreRead {
   ReadStatus status = ReadStatus::kNoAnswer;
   std::vector<StoreChange> changes;
-  uint64_t revision = 0;  // of the store; the next watch starts here
+  StorePosition position;  // of the store; the next watch starts here
   // Of a listing: more pages follow, after this key.
   bool has_more = false;
   std::string last_key;
@@ -62,14 +67,14 @@
       list;
   // Waits up to `wait` for changes after a revision.
   std::function<StoreRead(uint64_t after, Duration wait)> watch;
-  // Returns what another VM knows if it is newer than the revision. Called
+  // Returns what another VM knows if it is newer than the position. Called
   // while the store is unreachable. May be unset.
-  std::function<std::optional<Listing>(uint64_t newer_than)> query_peers;
+  std::function<std::optional<Listing>(StorePosition newer_than)> query_peers;
   // Returns the number of relays that poll_relay can choose from. May be unset.
   std::function<size_t()> relay_count;
-  // Returns the changes after a revision, or nothing if the relay did not
+  // Returns the changes after a position, or nothing if the relay did not
   // answer or refused. `choice` modulo the number of relays selects one.
-  std::function<std::optional<ChangeSet>(size_t choice, uint64_t after)>
+  std::function<std::optional<ChangeSet>(size_t choice, StorePosition after)>
       poll_relay;
 };
 
@@ -163,9 +168,9 @@
   struct Hooks {
     // A complete listing, from the store or from another VM.
     std::function<void(Listing, UpdateSource)> on_listing;
-    // Later changes, in order, up to a revision of the store.
+    // Later changes, in order, up to a position of the store in the same epoch.
     std::function<
-        void(std::vector<StoreChange>, uint64_t revision, UpdateSource)>
+        void(std::vector<StoreChange>, StorePosition position, UpdateSource)>
         on_changes;
     // A response of the store, directly or through a relay, confirmed that all
     // known entries were current at this time. Called after the hooks that
@@ -174,6 +179,9 @@
     // The store became reachable or unreachable, as the status of a call
     // showed.
     std::function<void(bool reachable, ReadStatus status)> on_reachable;
+    // A watch from this position is not possible any more, for the reason that
+    // the status gives. A listing follows.
+    std::function<void(StorePosition from, ReadStatus status)> on_relisting;
     // The view comes from the store or from a relay from now on. `choice` is
     // that of poll_relay, `age` that of the relay's view if it answered.
     std::function<void(ViewSource, size_t choice, std::optional<Duration> age)>
@@ -199,14 +207,18 @@
   // the next page. Hundreds of VMs that start together exceed the rate limit of
   // the store, and would never complete a listing that starts over each time.
   struct PartialListing {
-    std::vector<StoreChange> items;
-    std::string after;            // key of the last item
-    uint64_t items_revision = 0;  // lowest of the pages; 0 before the first
-    TimePoint started_at;         // begin of the call for the first page
+    std::vector<StoreChange> items;  // of one epoch
+    std::string after;               // key of the last item
+    StorePosition position;          // lowest of the pages; unset before them
+    TimePoint started_at;            // begin of the call for the first page
   };
 
   ReadStatus List();
+  // Requests the next pages of the listing until it is complete.
+  ReadStatus ListPages(bool may_be_old, Duration timeout);
   ReadStatus Watch();
+  // Abandons the watched revision, so that a listing follows.
+  void StartOver(ReadStatus status);
   // Passes the first listing on after a watch from its revision.
   void PublishOldListing();
   // Lists the current state after an old listing that no watch could update.
@@ -234,12 +246,14 @@
   const StoreReader reader_;
   const Hooks hooks_;
   PartialListing partial_;
-  // A complete listing that may be old. While it is set, watch_revision_ is its
-  // revision and newest_revision_ is 0.
+  // A complete listing that may be old. While it is set, watched_ is its
+  // position and newest_ is unset.
   std::optional<Listing> old_listing_;
-  bool may_list_old_ = true;      // no old listing has been discarded
-  uint64_t watch_revision_ = 0;   // 0 while a listing is needed
-  uint64_t newest_revision_ = 0;  // passed to the hooks; 0 before the first
+  bool may_list_old_ = true;  // no old listing has been discarded
+  // The next watch starts here. The epoch is the latest that is known, and the
+  // revision is 0 while a listing is needed.
+  StorePosition watched_;
+  StorePosition newest_;  // passed to the hooks; unset before the first
   TimePoint last_peer_query_;
   Duration retry_delay_{0};          // 0 after a successful call
   Duration batching_delay_{0};       // until the next call, after changes
--- a/src/discovery/target_registry.cc
+++ b/src/discovery/target_registry.cc
@@ -14,18 +14,30 @@
   return forward::TargetToken{folded == 0 ? 1 : static_cast<uint32_t>(folded)};
 }
 
+bool IsLaterReport(const TargetRecord& a, const TargetRecord& b) {
+  if (a.start_time_ms != b.start_time_ms) {
+    return a.start_time_ms > b.start_time_ms;
+  }
+  // A target does not take back that it drains.
+  if (a.sequence == 0 || b.sequence == 0) {
+    return a.draining || !b.draining;
+  }
+  return a.sequence != b.sequence ? a.sequence > b.sequence
+                                  : a.draining && !b.draining;
+}
+
 TargetRegistry::TargetRegistry(RegistryOptions options,
                                DecisionHook log_decision)
     : options_(std::move(options)), log_decision_(std::move(log_decision)) {}
 
 bool TargetRegistry::ApplyChanges(const std::vector<StoreChange>& changes,
-                                  uint64_t revision,
+                                  StorePosition position,
                                   TimePoint now) {
   bool changed = false;
   for (const StoreChange& it : changes) {
     changed |= Apply(it, now);
   }
-  revision_ = std::max(revision_, revision);
+  position_ = std::max(position_, position);
   return changed;
 }
 
@@ -33,7 +45,8 @@
   if (!change.error.empty()) {
     Decision decision;
     decision.kind = DecisionKind::kConfiguration;
-    decision.revision = change.revision;
+    decision.revision = change.position.revision;
+    decision.store_epoch = change.position.epoch;
     decision.outcome = "entry-ignored";
     decision.reason = change.error;
     decision.detail = change.key;
@@ -42,49 +55,140 @@
   if (change.is_target) {
     return ApplyTarget(change, now);
   }
-  return change.config && ApplyConfig(*change.config);
+  return change.config && ApplyConfig(change);
 }
 
 bool TargetRegistry::ApplyListing(const Listing& listing, TimePoint now) {
+  if (listing.position.epoch < position_.epoch) {
+    return false;
+  }
+  const StorePosition before = position_;
+  RestoreCounts restored;
+  RestoreCounts* counts =
+      before.revision > 0 && listing.position.epoch > before.epoch ? &restored
+                                                                   : nullptr;
   bool changed = false;
-  std::set<std::string> present;
   for (const StoreChange& it : listing.items) {
-    present.insert(it.key);
-    // A target that only an older listing contains has left and is forgotten.
-    if (!it.is_target || listing.revision >= revision_ ||
-        targets_.contains(it.key)) {
+    if (counts != nullptr) {
+      changed |= ApplyRestored(it, now, counts);
+    } else if (!it.is_target || listing.position >= position_ ||
+               targets_.contains(it.key)) {
+      // A target that only an older listing contains has left and is forgotten.
       changed |= Apply(it, now);
     }
   }
+  changed |= RemoveMissing(listing, now, counts);
+  position_ = std::max(position_, listing.position);
+  if (counts != nullptr) {
+    LogRestore(before, *counts);
+  }
+  return changed;
+}
+
+bool TargetRegistry::RemoveMissing(const Listing& listing,
+                                   TimePoint now,
+                                   RestoreCounts* counts) {
+  std::set<std::string> present;
+  for (const StoreChange& it : listing.items) {
+    present.insert(it.key);
+  }
+  bool changed = false;
   for (auto& [key, entry] : targets_) {
-    if (present.contains(key) || entry.revision > listing.revision) {
+    if (present.contains(key) || entry.position > listing.position) {
       continue;
     }
-    StoreChange removal;
-    removal.key = key;
-    removal.revision = std::max(listing.revision, entry.revision + 1);
-    removal.removed = true;
-    removal.is_target = true;
-    changed |= ApplyTarget(removal, now);
+    if (counts != nullptr) {
+      counts->missing += entry.state != TargetState::kRetired ? 1 : 0;
+      AwaitNewEntry(entry, now);
+      changed = true;
+    } else if (!entry.retire_at) {
+      StoreChange removal;
+      removal.key = key;
+      removal.position =
+          std::max(listing.position,
+                   {entry.position.epoch, entry.position.revision + 1});
+      removal.removed = true;
+      removal.is_target = true;
+      changed |= ApplyTarget(removal, now);
+    }
   }
-  revision_ = std::max(revision_, listing.revision);
   return changed;
 }
 
+bool TargetRegistry::ApplyRestored(const StoreChange& change,
+                                   TimePoint now,
+                                   RestoreCounts* counts) {
+  if (change.config) {
+    counts->config_version = change.config->version;
+  }
+  const auto it = targets_.find(change.key);
+  if (!change.target || it == targets_.end()) {
+    counts->added += change.target ? 1 : 0;
+    return Apply(change, now);
+  }
+  Entry& entry = it->second;
+  if (IsLaterReport(*change.target, entry.record)) {
+    ++counts->replaced;
+    return Apply(change, now);
+  }
+  // The copy may be all that is left of a target that ended since, so that an
+  // entry in it does not show that the target lives.
+  ++counts->kept;
+  entry.position = change.position;
+  if (entry.retire_at) {
+    entry.retire_at = now + options_.restore_grace_period;
+  }
+  return false;
+}
+
+void TargetRegistry::AwaitNewEntry(Entry& entry, TimePoint now) {
+  if (entry.state == TargetState::kRetired) {
+    return;
+  }
+  if (entry.state == TargetState::kActive) {
+    SetState(entry, TargetState::kLapsed, "store-restored", now);
+  }
+  entry.retire_at = now + options_.restore_grace_period;
+}
+
+void TargetRegistry::LogRestore(StorePosition before,
+                                const RestoreCounts& counts) const {
+  const std::string detail =
+      "epoch " + std::to_string(position_.epoch) + " after " +
+      std::to_string(before.epoch) + ", revision " +
+      std::to_string(position_.revision) + " after " +
+      std::to_string(before.revision) +
+      "; targets: " + std::to_string(counts.kept) + " kept, " +
+      std::to_string(counts.replaced) + " replaced, " +
+      std::to_string(counts.added) + " new, " + std::to_string(counts.missing) +
+      " missing; configuration " + std::to_string(config_.version) +
+      " in force, " + std::to_string(counts.config_version) + " in the store";
+  Decision decision;
+  decision.kind = DecisionKind::kMembership;
+  decision.revision = position_.revision;
+  decision.store_epoch = position_.epoch;
+  decision.outcome = "store-restored";
+  decision.reason = "later-epoch";
+  decision.detail = detail;
+  log_decision_(decision);
+}
+
 Listing TargetRegistry::Snapshot() const {
   Listing listing;
-  listing.revision = revision_;
+  listing.position = position_;
   StoreChange config;
+  config.position = config_position_;
   config.config = config_;
   listing.items.push_back(std::move(config));
   for (const auto& [key, entry] : targets_) {
-    if (entry.state != TargetState::kActive &&
-        entry.state != TargetState::kDraining) {
+    if ((entry.state != TargetState::kActive &&
+         entry.state != TargetState::kDraining) ||
+        entry.retire_at) {
       continue;
     }
     StoreChange item;
     item.key = key;
-    item.revision = entry.revision;
+    item.position = entry.position;
     item.is_target = true;
     item.target = entry.record;
     listing.items.push_back(std::move(item));
@@ -94,7 +198,7 @@
 
 bool TargetRegistry::ApplyTarget(const StoreChange& change, TimePoint now) {
   const auto it = targets_.find(change.key);
-  if (it != targets_.end() && change.revision <= it->second.revision) {
+  if (it != targets_.end() && change.position <= it->second.position) {
     return false;
   }
   if (!change.target) {
@@ -102,7 +206,7 @@
       return false;
     }
     Entry& entry = it->second;
-    entry.revision = change.revision;
+    entry.position = change.position;
     const TargetState before = entry.state;
     if (!change.removed) {
       Retire(entry, false, "unreadable", now);
@@ -110,6 +214,7 @@
       Retire(entry, true, "left", now);
     } else if (before == TargetState::kActive) {
       SetState(entry, TargetState::kLapsed, "entry-vanished", now);
+      entry.retire_at = now + options_.lapse_grace_period;
     }
     return entry.state != before;
   }
@@ -120,7 +225,8 @@
   }
   entry.record = next;
   AddToIndexes(entry);
-  entry.revision = change.revision;
+  entry.position = change.position;
+  entry.retire_at.reset();
   entry.warm_up_until = now + next.warm_up_left;
   SetState(entry, next.draining ? TargetState::kDraining : TargetState::kActive,
            it == targets_.end() ? "joined" : "entry-changed", now);
@@ -164,7 +270,8 @@
     decision.kind = DecisionKind::kTargetHealth;
     decision.target =
         TargetId{static_cast<uint32_t>(TokenOf(entry.record.instance))};
-    decision.revision = entry.revision;
+    decision.revision = entry.position.revision;
+    decision.store_epoch = entry.position.epoch;
     decision.outcome = "token-shared";
     decision.reason = "the target that started later gets no flows";
     decision.detail = entry.record.id;
@@ -178,6 +285,7 @@
                             TimePoint now) {
   if (entry.state != TargetState::kRetired) {
     entry.gone = gone;
+    entry.retire_at.reset();
     SetState(entry, TargetState::kRetired, reason, now);
   }
 }
@@ -193,15 +301,24 @@
   decision.service = GetOrAssignServiceId(entry.record.service);
   decision.target =
       TargetId{static_cast<uint32_t>(TokenOf(entry.record.instance))};
-  decision.revision = entry.revision;
+  decision.revision = entry.position.revision;
+  decision.store_epoch = entry.position.epoch;
   decision.outcome = NameOf(state);
   decision.reason = reason;
   decision.detail = entry.record.id;
   log_decision_(decision);
 }
 
-bool TargetRegistry::ApplyConfig(const ConfigRecord& config) {
-  if (config.version <= config_.version) {
+bool TargetRegistry::ApplyConfig(const StoreChange& change) {
+  const ConfigRecord& config = *change.config;
+  // A version that the store lost may be written again with other content.
+  if (config.version < config_.version ||
+      (config.version == config_.version &&
+       change.position.epoch <= config_position_.epoch)) {
+    return false;
+  }
+  config_position_ = change.position;
+  if (config == config_) {
     return false;
   }
   config_ = config;
@@ -224,8 +341,7 @@
   bool changed = false;
   for (auto it = targets_.begin(); it != targets_.end();) {
     Entry& entry = it->second;
-    if (entry.state == TargetState::kLapsed &&
-        now - entry.state_changed_at >= options_.lapse_grace_period) {
+    if (entry.retire_at && now >= *entry.retire_at) {
       Retire(entry, true, "entry-stayed-away", now);
       changed = true;
     }
--- a/src/discovery/target_registry.h
+++ b/src/discovery/target_registry.h
@@ -6,12 +6,14 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <unordered_map>
 #include <vector>
 
 #include "src/base/decision.h"
+#include "src/base/store_position.h"
 #include "src/base/time.h"
 #include "src/discovery/records.h"
 #include "src/discovery/snapshot_codec.h"
@@ -25,6 +27,10 @@
   // this time, if it answers. Entries that lapse during an outage of the store
   // return within two seconds of its end.
   Duration lapse_grace_period = std::chrono::seconds(2);
+  // How long a target is kept that the restored store lacks. It writes itself
+  // again within two seconds of the store's return; the rest allows for the
+  // time until this VM learns of it.
+  Duration restore_grace_period = std::chrono::seconds(4);
   // How long the token of a retired target stays known: the longest lifetime of
   // a flow.
   Duration retired_token_lifetime = std::chrono::seconds(60);
@@ -34,19 +40,25 @@
  public:
   TargetRegistry(RegistryOptions options, DecisionHook log_decision);
 
-  // Applies all changes up to a revision of the store. Ignores a change that is
+  // Applies all changes up to a position of the store. Ignores a change that is
   // older than the known one of its key. Returns whether the view changed.
   bool ApplyChanges(const std::vector<StoreChange>& changes,
-                    uint64_t revision,
+                    StorePosition position,
                     TimePoint now);
 
   // Applies a complete listing. Keys that are not in it are treated as removed,
   // unless they changed after it. A listing of an earlier revision than the
-  // known one adds no targets. Returns whether the view changed.
+  // known one adds no targets, and one of an earlier epoch is ignored. Returns
+  // whether the view changed.
+  //
+  // The first listing of a later epoch shows a store that was restored from an
+  // older copy. What this VM knows may be newer than the copy, although the
+  // store has lost it: a target keeps its later report, and one that the copy
+  // lacks is kept until restore_grace_period has passed.
   bool ApplyListing(const Listing& listing, TimePoint now);
 
-  // The configuration and all active and draining targets, for other VMs. The
-  // revision is 0 before the first listing.
+  // The configuration and all active and draining targets that the store has,
+  // for other VMs. The revision is 0 before the first listing.
   Listing Snapshot() const;
 
   // Retires targets whose grace period has ended and removes old retired ones.
@@ -56,23 +68,47 @@
   forward::ViewPtr MakeView() const;
 
   uint64_t config_version() const { return config_.version; }
-  // Revision of the store up to which all changes are applied.
-  uint64_t revision() const { return revision_; }
+  // Position of the store up to which all changes are applied.
+  StorePosition position() const { return position_; }
   size_t target_count() const { return targets_.size(); }
 
  private:
   struct Entry {
     TargetRecord record;
     forward::TargetState state = forward::TargetState::kActive;
-    uint64_t revision = 0;
-    bool gone = false;  // while retired: it has left or ended
+    StorePosition position;  // of the last change
+    bool gone = false;       // while retired: it has left or ended
     TimePoint warm_up_until;
     TimePoint state_changed_at;
+    // While the store has no entry of the target, although it has not drained:
+    // when to retire it.
+    std::optional<TimePoint> retire_at;
+  };
+
+  // What a listing of a restored store changed, for the log.
+  struct RestoreCounts {
+    size_t kept = 0;      // reports that are not older than those of the copy
+    size_t replaced = 0;  // by a later report
+    size_t missing = 0;   // in the copy
+    size_t added = 0;     // unknown before
+    uint64_t config_version = 0;  // in the copy
   };
 
   bool Apply(const StoreChange& change, TimePoint now);
   bool ApplyTarget(const StoreChange& change, TimePoint now);
-  bool ApplyConfig(const ConfigRecord& config);
+  bool ApplyConfig(const StoreChange& change);
+  // Applies an entry of the first listing of an epoch.
+  bool ApplyRestored(const StoreChange& change,
+                     TimePoint now,
+                     RestoreCounts* counts);
+  // Keeps a target that the restored store lacks until it writes itself again.
+  void AwaitNewEntry(Entry& entry, TimePoint now);
+  // Handles the targets that a listing lacks. `counts` is set if the store has
+  // been restored.
+  bool RemoveMissing(const Listing& listing,
+                     TimePoint now,
+                     RestoreCounts* counts);
+  void LogRestore(StorePosition before, const RestoreCounts& counts) const;
   void SetState(Entry& entry,
                 forward::TargetState state,
                 std::string_view reason,
@@ -105,10 +141,15 @@
   std::map<Endpoint, std::vector<Entry*>> by_address_;
   std::map<forward::TargetToken, std::vector<Entry*>> by_token_;
   std::unordered_map<std::string, ServiceId> services_;
-  ConfigRecord config_;
-  uint64_t revision_ = 0;  // never decreases
+  ConfigRecord config_;  // its version never decreases
+  StorePosition config_position_;
+  StorePosition position_;  // never decreases
 };
 
+// Whether a target made report `a` about itself after report `b`. Does not
+// depend on the store, which may have lost the later one of the two.
+bool IsLaterReport(const TargetRecord& a, const TargetRecord& b);
+
 // The token of a target. It is the same on all VMs and never kNone. Instance
 // numbers are longer than tokens, so that in rare cases two targets share one.
 forward::TargetToken TokenOf(uint64_t instance);
--- a/src/net/http_client.cc
+++ b/src/net/http_client.cc
@@ -31,10 +31,10 @@
 class HttpClient::Impl {
  public:
   explicit Impl(HttpClientOptions options)
-      : options_(options),
-        host_(options.server.ToString()),
-        server_(asio::ip::make_address_v4(options.server.address.ToV4()),
-                options.server.port),
+      : options_(std::move(options)),
+        host_(options_.server.ToString()),
+        server_(asio::ip::make_address_v4(options_.server.address.ToV4()),
+                options_.server.port),
         socket_(io_) {}
 
   std::optional<HttpResponse> Get(const std::string& target, Duration timeout) {
@@ -148,8 +148,13 @@
     if (!message.keep_alive() || !unparsed.empty()) {
       Close();
     }
-    return HttpResponse{static_cast<int>(message.result_int()),
-                        std::move(message.body())};
+    HttpResponse response{static_cast<int>(message.result_int()),
+                          std::move(message.body()), std::nullopt};
+    if (const auto it = message.find(options_.header);
+        !options_.header.empty() && it != message.end()) {
+      response.header = std::string(it->value());
+    }
+    return response;
   }
 
   // Starts an operation and runs it until it completes. Closes the connection
@@ -194,7 +199,7 @@
 };
 
 HttpClient::HttpClient(HttpClientOptions options)
-    : impl_(std::make_unique<Impl>(options)) {}
+    : impl_(std::make_unique<Impl>(std::move(options))) {}
 
 HttpClient::~HttpClient() = default;
 
--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -15,6 +15,8 @@
 struct HttpResponse {
   int status = 0;
   std::string body;
+  // Value of HttpClientOptions::header, if the response has it.
+  std::optional<std::string> header;
 };
 
 struct HttpClientOptions {
@@ -28,6 +30,8 @@
   // A response with a larger body fails. The largest expected body is a page of
   // the store (1 MB) in base64.
   size_t max_body_bytes = size_t{8} << 20;
+  // Name of a header to return with each response. Empty for none.
+  std::string header = {};
 };
 
 // Keeps its connection open between calls. Not thread-safe, except where
--- a/src/net/relay_client.cc
+++ b/src/net/relay_client.cc
@@ -17,15 +17,16 @@
 }  // namespace
 
 std::optional<std::string> RelayClient::Poll(const Endpoint& relay,
-                                             uint64_t after) {
+                                             StorePosition after) {
   if (client_ == nullptr || relay != relay_) {
-    client_ =
-        std::make_unique<HttpClient>(HttpClientOptions{relay, kConnectTimeout});
+    client_ = std::make_unique<HttpClient>(
+        HttpClientOptions{.server = relay, .connect_timeout = kConnectTimeout});
     relay_ = relay;
   }
   auto response =
       client_->Get(std::string(kChangesPath) + "?" + kAfterParameter + "=" +
-                       std::to_string(after),
+                       std::to_string(after.revision) + "&" + kEpochParameter +
+                       "=" + std::to_string(after.epoch),
                    kResponseTimeout);
   if (!response || response->status != kStatusOk) {
     return std::nullopt;
--- a/src/net/snapshot_client.cc
+++ b/src/net/snapshot_client.cc
@@ -4,6 +4,7 @@
 #include <chrono>
 
 #include "src/net/http_client.h"
+#include "src/net/relay_client.h"
 
 namespace marjoramhall::net {
 namespace {
@@ -18,12 +19,13 @@
 }  // namespace
 
 std::optional<std::string> FetchSnapshot(const std::vector<Endpoint>& peers,
-                                         uint64_t newer_than) {
-  const std::string path = std::string(kSnapshotPath) + "?" +
-                           kNewerThanParameter + "=" +
-                           std::to_string(newer_than);
+                                         StorePosition newer_than) {
+  const std::string path =
+      std::string(kSnapshotPath) + "?" + kNewerThanParameter + "=" +
+      std::to_string(newer_than.revision) + "&" + kEpochParameter + "=" +
+      std::to_string(newer_than.epoch);
   for (const Endpoint& peer : peers) {
-    HttpClient client({peer, kConnectTimeout});
+    HttpClient client({.server = peer, .connect_timeout = kConnectTimeout});
     auto response = client.Get(path, kResponseTimeout);
     if (response && response->status == kStatusOk && !response->body.empty()) {
       return std::move(response->body);
--- a/src/net/snapshot_client.h
+++ b/src/net/snapshot_client.h
@@ -2,25 +2,26 @@
 #ifndef MARJORAMHALL_NET_SNAPSHOT_CLIENT_H_
 #define MARJORAMHALL_NET_SNAPSHOT_CLIENT_H_
 
-#include <cstdint>
 #include <optional>
 #include <string>
 #include <vector>
 
 #include "src/base/endpoint.h"
+#include "src/base/store_position.h"
 
 namespace marjoramhall::net {
 
-// Path at which a VM serves its snapshot, and the query parameter with the
-// revision of the client. The response is empty if the VM has no newer
-// snapshot.
+// Path at which a VM serves its snapshot, and the query parameters with the
+// position of the client (also kEpochParameter). The response is empty if the
+// VM has no newer snapshot.
 inline constexpr char kSnapshotPath[] = "/v1/snapshot";
 inline constexpr char kNewerThanParameter[] = "newer-than";
 
 // Asks the peers in order and returns the first snapshot, or std::nullopt if no
-// peer has one newer than `newer_than`. Blocks for at most 600 ms per peer.
+// peer has one newer than `newer_than`. Blocks for at most 600 ms per
+// peer until a response begins (HttpClient::Get).
 std::optional<std::string> FetchSnapshot(const std::vector<Endpoint>& peers,
-                                         uint64_t newer_than);
+                                         StorePosition newer_than);
 
 }  // namespace marjoramhall::net
 
--- a/src/observe/decision_log.cc
+++ b/src/observe/decision_log.cc
@@ -204,6 +204,7 @@
   AppendHex(line, "peer", ToInteger(decision.vm));
   AppendHex(line, "subject", decision.subject);
   AppendNumber(line, "revision", decision.revision);
+  AppendNumber(line, "store_epoch", decision.store_epoch);
   AppendText(line, "outcome", decision.outcome);
   AppendText(line, "reason", decision.reason);
   AppendText(line, "detail", decision.detail);
--- a/tests/app/forward_process_test.cc
+++ b/tests/app/forward_process_test.cc
@@ -171,8 +171,8 @@
             std::string::npos)
       << metrics;
 
-  EXPECT_TRUE(net::FetchSnapshot({settings_.forward.peers}, 0));
-  EXPECT_FALSE(net::FetchSnapshot({settings_.forward.peers}, 1'000'000));
+  EXPECT_TRUE(net::FetchSnapshot({settings_.forward.peers}, {}));
+  EXPECT_FALSE(net::FetchSnapshot({settings_.forward.peers}, {1'000'000, 0}));
 
   std::raise(SIGTERM);
   EXPECT_TRUE(WaitForReadiness(503));
@@ -274,7 +274,9 @@
 
   // A change of the store reaches the next poll.
   store_.RemoveTarget("i-0000002a");
-  const std::string next = "/v1/changes?after=" + std::to_string(set->revision);
+  const std::string next =
+      "/v1/changes?after=" + std::to_string(set->position.revision) +
+      "&epoch=" + std::to_string(set->position.epoch);
   std::optional<discovery::ChangeSet> changes;
   while ((!changes || changes->changes.empty()) &&
          std::chrono::steady_clock::now() < end) {
@@ -308,8 +310,9 @@
   net::StatusServer relay(
       relay_io, AnyLoopback(),
       {{net::kChangesPath, [&](const net::QueryParameter& query) {
-          set.revision = std::stoull(query(net::kAfterParameter)) + 1;
-          change.revision = set.revision;
+          set.position = {std::stoull(query(net::kEpochParameter)),
+                          std::stoull(query(net::kAfterParameter)) + 1};
+          change.position = set.position;
           set.changes = {change};
           polled = true;
           return net::StatusResponse{200, discovery::EncodeChangeSet(set)};
--- a/tests/discovery/change_relay_test.cc
+++ b/tests/discovery/change_relay_test.cc
@@ -27,7 +27,7 @@
   record.warm_up_left = seconds(5);
   StoreChange change;
   change.key = "servers/" + record.id;
-  change.revision = revision;
+  change.position.revision = revision;
   change.is_target = true;
   change.target = record;
   return change;
@@ -44,7 +44,7 @@
 StoreChange MakeConfig(uint64_t version, uint64_t revision) {
   StoreChange change;
   change.key = "op/config";
-  change.revision = revision;
+  change.position.revision = revision;
   ConfigRecord& config = change.config.emplace();
   config.version = version;
   RouteRecord route;
@@ -61,7 +61,7 @@
     state_.has_view = true;
     state_.peers = 100;
     state_.confirmed_at = now_;
-    relay_.OnListing(10);
+    relay_.OnListing({0, 10});
   }
 
   static ChangeRelayOptions Options() {
@@ -71,7 +71,7 @@
   }
 
   RelayRefusal RefusalOf(uint64_t after) {
-    return relay_.Poll(after, state_, now_).refusal;
+    return relay_.Poll({0, after}, state_, now_).refusal;
   }
 
   TimePoint now_{seconds(1000)};
@@ -81,23 +81,23 @@
 };
 
 TEST_F(ChangeRelayTest, ReturnsWhatTheFollowerLacks) {
-  relay_.OnChanges({MakePut(1, 11), MakeRemoval(2, 12)}, 14, now_);
-  const auto answer = relay_.Poll(11, state_, now_);
+  relay_.OnChanges({MakePut(1, 11), MakeRemoval(2, 12)}, {0, 14}, now_);
+  const auto answer = relay_.Poll({0, 11}, state_, now_);
   ASSERT_TRUE(answer.set);
   EXPECT_FALSE(answer.set->complete);
-  EXPECT_EQ(answer.set->revision, 14U);
+  EXPECT_EQ(answer.set->position.revision, 14U);
   ASSERT_EQ(answer.set->changes.size(), 1U);
-  EXPECT_EQ(answer.set->changes[0].revision, 12U);
+  EXPECT_EQ(answer.set->changes[0].position.revision, 12U);
 }
 
 TEST_F(ChangeRelayTest, ReturnsAllEntriesWhenItsHistoryIsTooShort) {
   for (uint64_t i = 11; i <= 16; ++i) {
-    relay_.OnChanges({MakePut(i, i)}, i, now_);
+    relay_.OnChanges({MakePut(i, i)}, {0, i}, now_);
   }
-  snapshot_ = {{MakeConfig(1, 1), MakePut(3, 3)}, 16};
-  EXPECT_FALSE(relay_.Poll(12, state_, now_).set->complete);
+  snapshot_ = {{MakeConfig(1, 1), MakePut(3, 3)}, {0, 16}};
+  EXPECT_FALSE(relay_.Poll({0, 12}, state_, now_).set->complete);
   for (const uint64_t after : {0, 9, 11}) {
-    const auto answer = relay_.Poll(after, state_, now_);
+    const auto answer = relay_.Poll({0, after}, state_, now_);
     ASSERT_TRUE(answer.set);
     EXPECT_TRUE(answer.set->complete);
     EXPECT_EQ(answer.set->changes.size(), 2U);
@@ -105,9 +105,9 @@
 }
 
 TEST_F(ChangeRelayTest, CountsDownTheWarmUpOfTargets) {
-  relay_.OnChanges({MakePut(1, 11)}, 11, now_);
+  relay_.OnChanges({MakePut(1, 11)}, {0, 11}, now_);
   now_ += milliseconds(900);
-  const auto answer = relay_.Poll(10, state_, now_);
+  const auto answer = relay_.Poll({0, 10}, state_, now_);
   EXPECT_EQ(answer.set->changes[0].target->warm_up_left, milliseconds(4100));
 }
 
@@ -157,16 +157,16 @@
   ChangeSet set;
   set.changes = {MakeRemoval(1, 11), MakePut(1, 12), unreadable,
                  MakeRemoval(2, 14)};
-  set.revision = 15;
+  set.position.revision = 15;
   set.age = milliseconds(250);
   const auto decoded = DecodeChangeSet(EncodeChangeSet(set));
   ASSERT_TRUE(decoded);
-  EXPECT_EQ(decoded->revision, 15U);
+  EXPECT_EQ(decoded->position.revision, 15U);
   EXPECT_EQ(decoded->age, set.age);
   EXPECT_FALSE(decoded->complete);
   ASSERT_EQ(decoded->changes.size(), 4U);
   for (size_t i = 0; i < 4; ++i) {
-    EXPECT_EQ(decoded->changes[i].revision, 11 + i);
+    EXPECT_EQ(decoded->changes[i].position.revision, 11 + i);
     EXPECT_EQ(decoded->changes[i].key, set.changes[i].key);
     EXPECT_EQ(decoded->changes[i].removed, set.changes[i].removed);
     EXPECT_EQ(decoded->changes[i].target.has_value(),
@@ -180,12 +180,12 @@
   // that one of them withdrew must not come back.
   ChangeSet set;
   set.changes = {MakeConfig(9, 11), MakePut(1, 12), MakeConfig(12, 13)};
-  set.revision = 13;
+  set.position.revision = 13;
   const auto decoded = DecodeChangeSet(EncodeChangeSet(set));
   ASSERT_TRUE(decoded);
   ASSERT_EQ(decoded->changes.size(), 2U);
   EXPECT_TRUE(decoded->changes[0].target);
-  EXPECT_EQ(decoded->changes[1].revision, 13U);
+  EXPECT_EQ(decoded->changes[1].position.revision, 13U);
   const auto& config = decoded->changes[1].config;
   ASSERT_TRUE(config);
   EXPECT_EQ(config->version, 12U);
@@ -195,7 +195,7 @@
 
 TEST(ChangeSetCodecTest, RefusesOtherBytes) {
   ChangeSet set;
-  set.revision = 15;
+  set.position.revision = 15;
   set.complete = true;  // but without a configuration
   EXPECT_FALSE(DecodeChangeSet(EncodeChangeSet(set)));
   EXPECT_FALSE(DecodeChangeSet(""));
@@ -216,21 +216,21 @@
 
   void Apply(const ChangeSet& set) {
     if (set.complete) {
-      registry.ApplyListing({set.changes, set.revision}, now);
-      relay.OnListing(registry.revision());
+      registry.ApplyListing({set.changes, set.position}, now);
+      relay.OnListing(registry.position());
     } else {
-      relay.OnChanges(set.changes, set.revision, now);
-      registry.ApplyChanges(set.changes, set.revision, now);
+      relay.OnChanges(set.changes, set.position, now);
+      registry.ApplyChanges(set.changes, set.position, now);
     }
   }
 
   void Poll(RelayedVm& other) {
-    const uint64_t before = registry.revision();
+    const StorePosition before = registry.position();
     const auto answer = other.relay.Poll(before, {false, true, 100, now}, now);
     const auto set = DecodeChangeSet(EncodeChangeSet(*answer.set));
     RC_ASSERT(set.has_value());
     Apply(*set);
-    RC_ASSERT(registry.revision() >= before);
+    RC_ASSERT(registry.position() >= before);
   }
 
   std::map<std::string, std::pair<uint64_t, bool>> Targets() {
@@ -239,7 +239,7 @@
     std::map<std::string, std::pair<uint64_t, bool>> targets;
     for (const StoreChange& it : registry.Snapshot().items) {
       if (it.target) {
-        targets[it.key] = {it.revision, it.target->draining};
+        targets[it.key] = {it.position.revision, it.target->draining};
       }
     }
     return targets;
@@ -268,7 +268,7 @@
   RelayedVm last;
   ChangeSet start;
   start.changes = {MakeConfig(1, 1)};
-  start.revision = 1;
+  start.position.revision = 1;
   start.complete = true;
   source.Apply(start);
   uint64_t revision = 1;
@@ -280,13 +280,13 @@
       continue;
     }
     if (step < 8) {
-      if (follower.registry.revision() > 0) {
+      if (follower.registry.position().revision > 0) {
         last.Poll(follower);
       }
       continue;
     }
     ChangeSet next;
-    next.revision = ++revision;
+    next.position.revision = ++revision;
     const auto instance = static_cast<uint64_t>(1 + step % 4);
     next.changes = {step < 16   ? MakePut(instance, revision)
                     : step < 23 ? MakeRemoval(instance, revision)
@@ -303,7 +303,8 @@
     RC_ASSERT(it->Routes() == source.Routes());
     RC_ASSERT(it->registry.config_version() ==
               source.registry.config_version());
-    RC_ASSERT(it->registry.revision() == source.registry.revision());
+    RC_ASSERT(it->registry.position().revision ==
+              source.registry.position().revision);
   }
 }
 
--- a/tests/discovery/relay_fleet_test.cc
+++ b/tests/discovery/relay_fleet_test.cc
@@ -100,24 +100,25 @@
         return index < kRelays ? kRelays - 1 : kRelays;
       };
       reader.poll_relay = [&fleet, &f, this, index](size_t choice,
-                                                    uint64_t after) {
+                                                    StorePosition after) {
         size_t other = choice % (index < kRelays ? kRelays - 1 : kRelays);
         other += index < kRelays && other >= index ? 1 : 0;
-        return fleet.Poll(*this, f, other, after);
+        return fleet.Poll(*this, f, other, after.revision);
       };
       StoreFollower::Hooks hooks;
       hooks.on_listing = [&fleet, this](const Listing& it, UpdateSource) {
-        fleet.Learn(*this, {}, it.revision);
+        fleet.Learn(*this, {}, it.position.revision);
       };
       hooks.on_changes = [&fleet, this](const std::vector<StoreChange>& it,
-                                        uint64_t up_to, UpdateSource) {
-        fleet.Learn(*this, it, up_to);
+                                        StorePosition up_to, UpdateSource) {
+        fleet.Learn(*this, it, up_to.revision);
       };
       hooks.on_confirmed = [this](TimePoint at) {
         const Duration effect = now;
         pending.push_back({effect, [this, at] { confirmed_at = at; }});
       };
       hooks.on_reachable = [](bool, ReadStatus) {};
+      hooks.on_relisting = [](StorePosition, ReadStatus) {};
       hooks.on_source = [](ViewSource, size_t, std::optional<Duration>) {};
       hooks.is_relay = [this] { return relay.IsPolled(TimePoint(now)); };
       hooks.sleep = [this](Duration span) { now += span; };
@@ -184,11 +185,12 @@
       return read;
     }
     read.status = ReadStatus::kOk;
-    read.revision = RevisionAt(answered);
-    for (uint64_t r = after + 1; after != 0 && r <= read.revision; ++r) {
+    read.position.revision = RevisionAt(answered);
+    for (uint64_t r = after + 1; after != 0 && r <= read.position.revision;
+         ++r) {
       StoreChange change;
       change.key = "servers/" + std::to_string(r % 7);
-      change.revision = r;
+      change.position.revision = r;
       change.is_target = true;
       change.removed = true;
       read.changes.push_back(change);
@@ -216,7 +218,7 @@
       other.pending.pop_front();
     }
     other.state.confirmed_at = other.confirmed_at;
-    auto answer = other.relay.Poll(after, other.state, TimePoint(vm.now));
+    auto answer = other.relay.Poll({0, after}, other.state, TimePoint(vm.now));
     vm.now += kCallTime;
     SkipFrozen(vm, f);
     return std::move(answer.set);
@@ -242,9 +244,9 @@
         {at, [&vm, learned = std::move(learned), revision, at] {
            vm.state.has_view = true;
            if (learned.empty()) {
-             vm.relay.OnListing(revision);
+             vm.relay.OnListing({0, revision});
            } else {
-             vm.relay.OnChanges(learned, revision, TimePoint(at));
+             vm.relay.OnChanges(learned, {0, revision}, TimePoint(at));
            }
          }});
   }
--- a/tests/discovery/store_follower_fixture.h
+++ b/tests/discovery/store_follower_fixture.h
@@ -17,14 +17,14 @@
 inline StoreChange MakeChange(const std::string& key, uint64_t revision) {
   StoreChange change;
   change.key = key;
-  change.revision = revision;
+  change.position = {0, revision};
   return change;
 }
 
 inline StoreRead Ok(uint64_t revision, std::vector<StoreChange> changes = {}) {
   StoreRead read;
   read.status = ReadStatus::kOk;
-  read.revision = revision;
+  read.position = {0, revision};
   read.changes = std::move(changes);
   return read;
 }
@@ -53,13 +53,13 @@
       waits_.push_back(wait);
       return Next();
     };
-    reader.query_peers = [this](uint64_t newer_than) {
-      peer_queries_.push_back(newer_than);
+    reader.query_peers = [this](StorePosition newer_than) {
+      peer_queries_.push_back(newer_than.revision);
       return peer_listing_;
     };
     reader.relay_count = [this] { return relay_count_; };
-    reader.poll_relay = [this](size_t choice, uint64_t after) {
-      polls_.emplace_back(choice % relay_count_, after);
+    reader.poll_relay = [this](size_t choice, StorePosition after) {
+      polls_.emplace_back(choice % relay_count_, after.revision);
       now_ += poll_time_;
       return relay_answer_;
     };
@@ -72,8 +72,8 @@
       listings_.push_back(std::move(listing));
       updates_.push_back(source);
     };
-    hooks.on_changes = [this](const std::vector<StoreChange>& changes, uint64_t,
-                              UpdateSource source) {
+    hooks.on_changes = [this](const std::vector<StoreChange>& changes,
+                              StorePosition, UpdateSource source) {
       changes_ += changes.size();
       updates_.push_back(source);
     };
@@ -82,6 +82,9 @@
       reachable_.push_back(reachable);
       reachable_at_.push_back(now_);
     };
+    hooks.on_relisting = [this](StorePosition from, ReadStatus status) {
+      relistings_.emplace_back(from, status);
+    };
     hooks.on_source = [this](ViewSource source, size_t,
                              std::optional<Duration>) {
       sources_.push_back(source);
@@ -120,6 +123,7 @@
   bool is_relay_ = false;
   std::vector<std::pair<size_t, uint64_t>> polls_;  // relay and revision
   std::vector<ViewSource> sources_;
+  std::vector<std::pair<StorePosition, ReadStatus>> relistings_;
   std::vector<std::string> listed_after_;
   std::vector<bool> listed_old_;
   std::vector<Duration> timeouts_;
--- a/tests/discovery/store_follower_relay_test.cc
+++ b/tests/discovery/store_follower_relay_test.cc
@@ -12,7 +12,7 @@
 
 ChangeSet MakeSet(uint64_t revision, std::vector<StoreChange> changes = {}) {
   ChangeSet set;
-  set.revision = revision;
+  set.position.revision = revision;
   set.changes = std::move(changes);
   set.age = milliseconds(100);
   return set;
@@ -40,7 +40,7 @@
   relay_answer_->complete = true;
   Steps(2);
   ASSERT_EQ(listings_.size(), 2U);
-  EXPECT_EQ(listings_[1].revision, 50U);
+  EXPECT_EQ(listings_[1].position.revision, 50U);
 }
 
 TEST_F(StoreFollowerTest, TurnsToTheStoreAtOnceWhenTheRelayIsSilent) {
@@ -179,7 +179,7 @@
   EXPECT_EQ(watched_after_, std::vector<uint64_t>{7});
   EXPECT_EQ(waits_, std::vector<Duration>{Options().probe_wait});
   ASSERT_EQ(listings_.size(), 1U);
-  EXPECT_EQ(listings_[0].revision, 7U);
+  EXPECT_EQ(listings_[0].position.revision, 7U);
   EXPECT_EQ(changes_, 1U);
 }
 
@@ -193,7 +193,7 @@
   old_.Step();
   EXPECT_EQ(watched_after_, std::vector<uint64_t>{7});
   ASSERT_EQ(listings_.size(), 1U);
-  EXPECT_EQ(listings_[0].revision, 7U);
+  EXPECT_EQ(listings_[0].position.revision, 7U);
 }
 
 TEST_F(OldListingTest, IsNotUsedWhenTheHistoryIsGone) {
@@ -206,7 +206,7 @@
   old_.Step();
   EXPECT_EQ(listed_old_, (std::vector<bool>{true, false}));
   ASSERT_EQ(listings_.size(), 1U);
-  EXPECT_EQ(listings_[0].revision, 60U);
+  EXPECT_EQ(listings_[0].position.revision, 60U);
   EXPECT_TRUE(listings_[0].items.empty());
 }
 
@@ -222,7 +222,7 @@
 }
 
 TEST_F(OldListingTest, IsNeverUsedByAVmThatKnowsMore) {
-  peer_listing_ = Listing{{MakeChange("a", 3)}, 90};
+  peer_listing_ = Listing{{MakeChange("a", 3)}, {0, 90}};
   old_.Step();
   answers_ = {Failed(ReadStatus::kHistoryGone), Ok(95)};
   old_.Step();
--- a/tests/discovery/store_follower_test.cc
+++ b/tests/discovery/store_follower_test.cc
@@ -40,7 +40,7 @@
   EXPECT_EQ(listed_after_[1], "a");
   ASSERT_EQ(listings_.size(), 1U);
   EXPECT_EQ(listings_[0].items.size(), 2U);
-  EXPECT_EQ(listings_[0].revision, 10U);
+  EXPECT_EQ(listings_[0].position.revision, 10U);
   EXPECT_EQ(watched_after_, (std::vector<uint64_t>{10}));
 }
 
@@ -109,7 +109,7 @@
 TEST_F(StoreFollowerTest, NamesTheCallThatAnUpdateCameWith) {
   answers_ = {Ok(10), Ok(12, {MakeChange("a", 12)})};
   Steps(2);
-  peer_listing_ = Listing{{MakeChange("a", 13)}, 20};
+  peer_listing_ = Listing{{MakeChange("a", 13)}, {0, 20}};
   Steps(2);
   EXPECT_EQ(updates_, (std::vector<UpdateSource>{UpdateSource::kListing,
                                                  UpdateSource::kWatch,
@@ -120,7 +120,7 @@
   answers_ = {Ok(10), Ok(10)};
   Steps(2);
   const TimePoint confirmed = now_;
-  peer_listing_ = Listing{{}, 20};
+  peer_listing_ = Listing{{}, {0, 20}};
   Steps(5);
   EXPECT_GT(now_, confirmed);
   EXPECT_EQ(confirmed_at_, confirmed);
@@ -139,10 +139,10 @@
 }
 
 TEST_F(StoreFollowerTest, QueriesPeersAtOnceBeforeTheFirstListing) {
-  peer_listing_ = Listing{{MakeChange("a", 3)}, 7};
+  peer_listing_ = Listing{{MakeChange("a", 3)}, {0, 7}};
   Steps(1);
   ASSERT_EQ(listings_.size(), 1U);
-  EXPECT_EQ(listings_[0].revision, 7U);
+  EXPECT_EQ(listings_[0].position.revision, 7U);
   // Later changes are watched once the store responds.
   answers_ = {Ok(9, {MakeChange("b", 8)})};
   Steps(1);
@@ -151,13 +151,13 @@
 }
 
 TEST_F(StoreFollowerTest, ListsTheStoreWhenThePeerRevisionIsTooOld) {
-  peer_listing_ = Listing{{MakeChange("a", 3)}, 7};
+  peer_listing_ = Listing{{MakeChange("a", 3)}, {0, 7}};
   Steps(1);
   answers_ = {Failed(ReadStatus::kHistoryGone), Ok(90)};
   Steps(2);
   EXPECT_EQ(watched_after_, std::vector<uint64_t>{7});
   ASSERT_EQ(listings_.size(), 2U);
-  EXPECT_EQ(listings_[1].revision, 90U);
+  EXPECT_EQ(listings_[1].position.revision, 90U);
 }
 
 TEST_F(StoreFollowerTest, ReplacesARefusedListingByAPeerSnapshot) {
@@ -167,11 +167,11 @@
   first.has_more = true;
   first.last_key = std::string("a");
   answers_ = {first, Failed(ReadStatus::kRefused), Ok(12)};
-  peer_listing_ = Listing{{MakeChange("a", 3), MakeChange("b", 8)}, 9};
+  peer_listing_ = Listing{{MakeChange("a", 3), MakeChange("b", 8)}, {0, 9}};
   Steps(2);
   EXPECT_EQ(listed_after_, (std::vector<std::string>{"", "a"}));
   ASSERT_EQ(listings_.size(), 1U);
-  EXPECT_EQ(listings_[0].revision, 9U);
+  EXPECT_EQ(listings_[0].position.revision, 9U);
   EXPECT_EQ(watched_after_, std::vector<uint64_t>{9});
 }
 
@@ -193,7 +193,7 @@
 }
 
 TEST_F(StoreFollowerTest, UsesAShortWatchAfterAPeerSnapshot) {
-  peer_listing_ = Listing{{MakeChange("a", 3)}, 7};
+  peer_listing_ = Listing{{MakeChange("a", 3)}, {0, 7}};
   Steps(1);
   answers_ = {Ok(9), Ok(9)};
   Steps(2);
@@ -212,7 +212,7 @@
 
 TEST_F(StoreFollowerTest, IgnoresAPeerSnapshotThatIsNotNewer) {
   answers_ = {Ok(10)};
-  peer_listing_ = Listing{{}, 10};
+  peer_listing_ = Listing{{}, {0, 10}};
   Steps(3);
   EXPECT_FALSE(peer_queries_.empty());
   EXPECT_EQ(listings_.size(), 1U);
--- a/tests/discovery/target_registry_test.cc
+++ b/tests/discovery/target_registry_test.cc
@@ -29,7 +29,7 @@
 StoreChange MakePut(const TargetRecord& record, uint64_t revision) {
   StoreChange change;
   change.key = "servers/" + record.id;
-  change.revision = revision;
+  change.position.revision = revision;
   change.is_target = true;
   change.target = record;
   return change;
@@ -62,7 +62,7 @@
   }
 
   void Apply(const StoreChange& change, uint64_t revision) {
-    registry_.ApplyChanges({change}, revision, now_);
+    registry_.ApplyChanges({change}, {0, revision}, now_);
   }
 
   // Returns nothing if the view does not contain the target.
@@ -161,7 +161,7 @@
 TEST_F(TargetRegistryTest, TreatsKeysMissingFromAListingAsRemoved) {
   Apply(MakePut(MakeRecord(7, 80), 2), 2);
   Apply(MakePut(MakeRecord(8, 81), 9), 9);
-  registry_.ApplyListing({{MakeConfig(1, 443)}, 5}, now_);
+  registry_.ApplyListing({{MakeConfig(1, 443)}, {0, 5}}, now_);
   EXPECT_EQ(StateOf(7), TargetState::kLapsed);
   // Its entry was written after the listing.
   EXPECT_EQ(StateOf(8), TargetState::kActive);
@@ -169,10 +169,10 @@
 
 TEST_F(TargetRegistryTest, AddsNoTargetsFromAnOlderListing) {
   // The snapshot of a VM that was cut off names a target that left long ago.
-  registry_.ApplyListing({{MakeConfig(1, 443)}, 20}, now_);
-  registry_.ApplyListing({{MakePut(MakeRecord(7, 80), 4)}, 10}, now_);
+  registry_.ApplyListing({{MakeConfig(1, 443)}, {0, 20}}, now_);
+  registry_.ApplyListing({{MakePut(MakeRecord(7, 80), 4)}, {0, 10}}, now_);
   EXPECT_EQ(registry_.target_count(), 0U);
-  EXPECT_EQ(registry_.revision(), 20U);
+  EXPECT_EQ(registry_.position().revision, 20U);
 }
 
 TEST_F(TargetRegistryTest, OnlyTargetsThatTheStoreRemovedAreGone) {
@@ -215,7 +215,7 @@
   ASSERT_TRUE(listing);
   TargetRegistry other({}, [](const Decision&) {});
   other.ApplyListing(*listing, now_);
-  EXPECT_EQ(other.revision(), 3U);
+  EXPECT_EQ(other.position().revision, 3U);
   EXPECT_EQ(other.config_version(), 1U);
   const auto view = other.MakeView();
   ASSERT_EQ(view->targets.size(), 2U);
@@ -251,7 +251,7 @@
 RC_GTEST_PROP(SnapshotCodec, RejectsBytesThatAreNotASnapshot, ()) {
   const auto bytes = *rc::gen::arbitrary<std::string>();
   const auto listing = DecodeSnapshot(bytes);
-  RC_ASSERT(!listing || listing->revision > 0);
+  RC_ASSERT(!listing || listing->position.revision > 0);
 }
 
 // Changes may be repeated and reordered. The state of a target always follows
@@ -270,7 +270,7 @@
     const TargetRecord record = MakeRecord(7, 80, draining);
     registry.ApplyChanges(
         {removed ? MakeRemoval(record, revision) : MakePut(record, revision)},
-        revision, now);
+        {0, revision}, now);
     if (revision > newest && (known || !removed)) {
       newest = revision;
       if (!removed) {
--- a/tests/platform/restored_store_test.cc
+++ b/tests/platform/restored_store_test.cc
@@ -69,16 +69,17 @@
       hooks.on_listing = [this](const discovery::Listing& listing,
                                 discovery::UpdateSource) {
         registry.ApplyListing(listing, now);
-        relay.OnListing(registry.revision());
+        relay.OnListing(registry.position());
       };
       hooks.on_changes = [this](
                              const std::vector<discovery::StoreChange>& changes,
-                             uint64_t revision, discovery::UpdateSource) {
-        relay.OnChanges(changes, revision, now);
-        registry.ApplyChanges(changes, revision, now);
+                             StorePosition position, discovery::UpdateSource) {
+        relay.OnChanges(changes, position, now);
+        registry.ApplyChanges(changes, position, now);
       };
       hooks.on_confirmed = [](TimePoint) {};
       hooks.on_reachable = [](bool, discovery::ReadStatus) {};
+      hooks.on_relisting = [](StorePosition, discovery::ReadStatus) {};
       hooks.on_source = [](discovery::ViewSource, size_t,
                            std::optional<Duration>) {};
       hooks.sleep = [](Duration) {};
@@ -143,7 +144,7 @@
 TEST_F(RestoredStoreTest, ARelayPassesOnChangesBelowTheLostRevisions) {
   // The VM that asks has followed the relay up to the lost revisions.
   LoseWrites(20);
-  const auto follower_revision = vm_->registry.revision();
+  const auto follower_revision = vm_->registry.position();
   vm_->Steps(3);
   store_.PutConfig(MakeConfig(4));
   vm_->Steps(2);
--- a/tests/platform/store_api_test.cc
+++ b/tests/platform/store_api_test.cc
@@ -82,7 +82,8 @@
 // Returns the result of a listing when the store responds with `body`.
 discovery::StoreRead ListFromBody(const std::string& body,
                                   bool may_be_old = false,
-                                  std::string* request_line = nullptr) {
+                                  std::string* request_line = nullptr,
+                                  const std::string& headers = "") {
   asio::io_context io;
   asio::ip::tcp::acceptor acceptor(io,
                                    {asio::ip::make_address_v4("127.0.0.1"), 0});
@@ -93,9 +94,9 @@
     if (request_line != nullptr) {
       *request_line = request.substr(0, request.find("\r\n"));
     }
-    asio::write(socket,
-                asio::buffer("HTTP/1.1 200 OK\r\nContent-Length: " +
-                             std::to_string(body.size()) + "\r\n\r\n" + body));
+    asio::write(socket, asio::buffer("HTTP/1.1 200 OK\r\nContent-Length: " +
+                                     std::to_string(body.size()) + "\r\n" +
+                                     headers + "\r\n" + body));
   });
   StoreApiOptions options;
   options.address = {kAnyPort.address, acceptor.local_endpoint().port()};
@@ -119,6 +120,16 @@
   EXPECT_EQ(request, "GET /v1/kv-range?prefix= HTTP/1.1");
 }
 
+TEST(StoreResponseTest, ReadsTheEpochOfTheStore) {
+  const auto list = [](const std::string& headers) {
+    return ListFromBody(R"({"items":[],"store_revision":4})", false, nullptr,
+                        headers);
+  };
+  EXPECT_EQ(list("Store-Era: 3\r\n").position, StorePosition(3, 4));
+  EXPECT_EQ(list("").position, StorePosition(0, 4));
+  EXPECT_EQ(list("Store-Era: later\r\n").status, ReadStatus::kUnreadable);
+}
+
 TEST(StoreResponseTest, ReportsInvalidItemsAndKeepsTheOthers) {
   const auto read = ListFromBody(
       R"({"store_revision":9,"items":[7,{"revision":3},)"
@@ -156,7 +167,7 @@
 }
 
 TEST_F(StoreApiTest, WatchReturnsWritesAndRemovals) {
-  const uint64_t start = api_->List("", false, seconds(1)).revision;
+  const uint64_t start = api_->List("", false, seconds(1)).position.revision;
   store_.PutTarget(MakeRecord(7));
   store_.RemoveTarget("i-7");
   const auto read = api_->Watch(start, seconds(1));
@@ -164,12 +175,13 @@
   ASSERT_EQ(read.changes.size(), 2U);
   EXPECT_TRUE(read.changes[0].target);
   EXPECT_TRUE(read.changes[1].removed);
-  EXPECT_EQ(read.revision, start + 2);
-  EXPECT_EQ(api_->Watch(read.revision, milliseconds(50)).changes.size(), 0U);
+  EXPECT_EQ(read.position.revision, start + 2);
+  EXPECT_EQ(
+      api_->Watch(read.position.revision, milliseconds(50)).changes.size(), 0U);
 }
 
 TEST_F(StoreApiTest, AWatchDecodesOnlyTheNewestConfiguration) {
-  const uint64_t start = api_->List("", false, seconds(1)).revision;
+  const uint64_t start = api_->List("", false, seconds(1)).position.revision;
   for (uint64_t i = 1; i <= 5; ++i) {
     discovery::ConfigRecord config;
     config.version = i;
@@ -191,7 +203,7 @@
 }
 
 TEST_F(StoreApiTest, DistinguishesCompactedHistoryRefusalAndSilence) {
-  const uint64_t start = api_->List("", false, seconds(1)).revision;
+  const uint64_t start = api_->List("", false, seconds(1)).position.revision;
   store_.PutTarget(MakeRecord(7));
   store_.Compact();
   EXPECT_EQ(api_->Watch(start, milliseconds(50)).status,
--- a/tests/platform/store_documents_test.cc
+++ b/tests/platform/store_documents_test.cc
@@ -17,7 +17,7 @@
     R"("born":1700000000123})";
 
 StoreChange DecodeTarget(const std::string& value) {
-  return DecodeEntry("servers/i-7f3a91c2", 5, value);
+  return DecodeEntry("servers/i-7f3a91c2", {0, 5}, value);
 }
 
 // Returns kTargetJson with one replacement.
@@ -31,7 +31,7 @@
   const StoreChange change = DecodeTarget(kTargetJson);
   ASSERT_TRUE(change.target) << change.error;
   EXPECT_TRUE(change.is_target);
-  EXPECT_EQ(change.revision, 5U);
+  EXPECT_EQ(change.position.revision, 5U);
   EXPECT_EQ(change.target->id, "i-7f3a91c2");
   EXPECT_EQ(change.target->instance, 0x7f3a91c2U);
   EXPECT_EQ(change.target->service, "huvo11a");
@@ -71,14 +71,14 @@
 }
 
 TEST(StoreDocumentsTest, IgnoresOtherKeys) {
-  const StoreChange change = DecodeEntry("status/x", 5, kTargetJson);
+  const StoreChange change = DecodeEntry("status/x", {0, 5}, kTargetJson);
   EXPECT_FALSE(change.is_target || change.target || change.config);
   EXPECT_TRUE(change.error.empty());
 }
 
 TEST(StoreDocumentsTest, ReadsAConfiguration) {
   const StoreChange change = DecodeEntry(
-      "op/config", 9,
+      "op/config", {0, 9},
       R"({"version":7,"routes":[)"
       R"({"name":"a","host":"198.18.0.1","prefix":"/8080/",)"
       R"("type":"non_idempotent","timeout_ms":2000,"target_latency_ms":300,)"
@@ -106,7 +106,7 @@
 TEST(StoreDocumentsTest, RejectsConfigurationWithoutAVersion) {
   for (const char* text : {"{}", R"({"version":0,"routes":[]})",
                            R"({"version":"7","routes":[]})", "x"}) {
-    const StoreChange change = DecodeEntry("op/config", 9, text);
+    const StoreChange change = DecodeEntry("op/config", {0, 9}, text);
     EXPECT_FALSE(change.config) << text;
     EXPECT_FALSE(change.error.empty()) << text;
   }
@@ -116,7 +116,7 @@
               RejectsAnyOtherBytes,
               (const std::string& bytes)) {
   RC_ASSERT(!DecodeTarget(bytes).target);
-  DecodeEntry("op/config", 1, bytes);
+  DecodeEntry("op/config", {0, 1}, bytes);
 }
 
 }  // namespace
