Do not let a late report take back a drain

A target's report from before its drain then overwrites the drain, until the target's next report, and all VMs sent new flows to it meanwhile. The order of the store says nothing of the order in which the target reported.

Change: a report of the same start with a lower count does not take back a drain; the log says so.

Test: ALateReportDoesNotTakeBackADrain, fails before the change.

--- a/src/discovery/target_registry.cc
+++ b/src/discovery/target_registry.cc
@@ -26,6 +26,12 @@
                                   : a.draining && !b.draining;
 }
 
+bool TakesBackDrain(const TargetRecord& a, const TargetRecord& b) {
+  return b.draining && !a.draining && a.start_time_ms != 0 &&
+         a.start_time_ms == b.start_time_ms && a.sequence != 0 &&
+         a.sequence < b.sequence;
+}
+
 TargetRegistry::TargetRegistry(RegistryOptions options,
                                DecisionHook log_decision)
     : options_(std::move(options)), log_decision_(std::move(log_decision)) {}
@@ -43,14 +49,7 @@
 
 bool TargetRegistry::Apply(const StoreChange& change, TimePoint now) {
   if (!change.error.empty()) {
-    Decision decision;
-    decision.kind = DecisionKind::kConfiguration;
-    decision.revision = change.position.revision;
-    decision.store_epoch = change.position.epoch;
-    decision.outcome = "entry-ignored";
-    decision.reason = change.error;
-    decision.detail = change.key;
-    log_decision_(decision);
+    LogIgnored(change, change.error);
   }
   if (change.is_target) {
     return ApplyTarget(change, now);
@@ -58,6 +57,18 @@
   return change.config && ApplyConfig(change);
 }
 
+void TargetRegistry::LogIgnored(const StoreChange& change,
+                                std::string_view reason) const {
+  Decision decision;
+  decision.kind = DecisionKind::kConfiguration;
+  decision.revision = change.position.revision;
+  decision.store_epoch = change.position.epoch;
+  decision.outcome = "entry-ignored";
+  decision.reason = reason;
+  decision.detail = change.key;
+  log_decision_(decision);
+}
+
 bool TargetRegistry::ApplyListing(const Listing& listing, TimePoint now) {
   if (listing.position.epoch < position_.epoch) {
     return false;
@@ -201,6 +212,12 @@
   if (it != targets_.end() && change.position <= it->second.position) {
     return false;
   }
+  if (it != targets_.end() && change.target &&
+      TakesBackDrain(*change.target, it->second.record)) {
+    it->second.position = change.position;
+    LogIgnored(change, "report from before the drain");
+    return false;
+  }
   if (!change.target) {
     if (it == targets_.end()) {
       return false;
--- a/src/discovery/target_registry.h
+++ b/src/discovery/target_registry.h
@@ -108,6 +108,8 @@
   bool RemoveMissing(const Listing& listing,
                      TimePoint now,
                      RestoreCounts* counts);
+  // Logs an entry that is left out.
+  void LogIgnored(const StoreChange& change, std::string_view reason) const;
   void LogRestore(StorePosition before, const RestoreCounts& counts) const;
   void SetState(Entry& entry,
                 forward::TargetState state,
@@ -150,6 +152,11 @@
 // depend on the store, which may have lost the later one of the two.
 bool IsLaterReport(const TargetRecord& a, const TargetRecord& b);
 
+// Whether report `a` is from before the drain that report `b` tells of. The
+// store executes a write whose response is lost up to some seconds later, when
+// it may overwrite a later one.
+bool TakesBackDrain(const TargetRecord& a, const TargetRecord& b);
+
 // The token of a target. It is the same on all VMs and never kNone. Instance
 // numbers are longer than tokens, so that in rare cases two targets share one.
 forward::TargetToken TokenOf(uint64_t instance);
--- a/tests/discovery/target_registry_test.cc
+++ b/tests/discovery/target_registry_test.cc
@@ -85,6 +85,21 @@
   TargetRegistry registry_;
 };
 
+TEST_F(TargetRegistryTest, ALateReportDoesNotTakeBackADrain) {
+  const auto report = [](uint64_t sequence, bool draining, int64_t start) {
+    TargetRecord record = MakeRecord(7, 80, draining);
+    record.sequence = sequence;
+    record.start_time_ms = start;
+    return record;
+  };
+  Apply(MakePut(report(3, true, 1000), 1), 1);
+  Apply(MakePut(report(2, false, 1000), 2), 2);
+  EXPECT_EQ(StateOf(7), TargetState::kDraining);
+  // A target that starts again counts its reports from the beginning.
+  Apply(MakePut(report(1, false, 2000), 3), 3);
+  EXPECT_EQ(StateOf(7), TargetState::kActive);
+}
+
 TEST_F(TargetRegistryTest, RetiresADrainingTargetWhenItsEntryIsRemoved) {
   Apply(MakePut(MakeRecord(7, 80), 2), 2);
   Apply(MakePut(MakeRecord(7, 80, true), 3), 3);
