Let the store come back from an older copy during the soak

The soak's store now goes back to a copy that is 0.2 to 4 s old, every few seconds; what was lost is written again within a second. The order of the other faults of a seed is unchanged.

--- a/lab/forward_soak.cc
+++ b/lab/forward_soak.cc
@@ -38,6 +38,7 @@
  public:
   Soak(const std::string& binary, const std::string& folder, uint64_t seed)
       : random_(seed),
+        restore_random_(seed * 17 + 3),
         vms_(binary, folder),
         environment_(vms_, store_, seed * 31 + 7) {}
 
@@ -58,6 +59,7 @@
       vms_.Start(it);
     }
     RunFor(seconds(2), false);
+    ScheduleRestores(length);
     RunFor(length, true);
     EndFaults();
     RunFor(kSettleTime, false);
@@ -195,6 +197,20 @@
     ScheduleAfter(span, [this] { store_.SetRefusing(false); });
   }
 
+  // Lets the store come back from an older copy, every few seconds.
+  void ScheduleRestores(Duration length) {
+    const auto span = [this](uint64_t min_ms, uint64_t max_ms) {
+      return milliseconds(min_ms + restore_random_() % (max_ms - min_ms));
+    };
+    for (Duration at = span(0, 3000); at < length; at += span(2000, 8000)) {
+      ScheduleAfter(at, [this] { store_.TakeCopy(); });
+      at += span(200, 4000);
+      ScheduleAfter(at, [this] { store_.RestoreCopy(); });
+      at += span(10, 1000);
+      ScheduleAfter(at, [this] { store_.WriteLostItems(); });
+    }
+  }
+
   void EndFaults() {
     // Runs all scheduled actions, which restart VMs and end faults.
     while (!scheduled_.empty()) {
@@ -234,6 +250,7 @@
   }
 
   std::mt19937_64 random_;
+  std::mt19937_64 restore_random_;  // leaves the order of other faults alone
   platform::StandInStore store_;
   SoakVms vms_;
   SoakEnvironment environment_;
