Do not start from an old listing of a store that was restored

A page that may be old can show the lost part and carry the epoch of now. If the new history has its revision already, the watch from there misses what came between, and the VM keeps targets and a configuration that the store does not have.

Change: a VM that starts lists again without old pages if the store's epoch is above the first one. On a store that never came back nothing changes.

Test: AnOldListingOfARestoredStoreIsNotUsed, fails before the change.

--- a/src/discovery/store_follower.cc
+++ b/src/discovery/store_follower.cc
@@ -6,6 +6,12 @@
 #include <utility>
 
 namespace marjoramhall::discovery {
+namespace {
+
+// Of a store that has never been restored.
+constexpr uint64_t kFirstEpoch = 1;
+
+}  // namespace
 
 StoreFollower::StoreFollower(FollowerOptions options,
                              StoreReader reader,
@@ -51,6 +57,12 @@
     return status;
   }
   PartialListing complete = std::exchange(partial_, PartialListing{});
+  if (may_be_old && complete.position.epoch > kFirstEpoch) {
+    // An old page may be from before the store's return, but carry the epoch of
+    // now. A watch from there would miss changes.
+    may_list_old_ = false;
+    return List();
+  }
   watched_ = complete.position;
   if (may_be_old) {
     old_listing_ = Listing{std::move(complete.items), watched_};
--- a/src/discovery/store_follower.h
+++ b/src/discovery/store_follower.h
@@ -249,7 +249,8 @@
   // A complete listing that may be old. While it is set, watched_ is its
   // position and newest_ is unset.
   std::optional<Listing> old_listing_;
-  bool may_list_old_ = true;  // no old listing has been discarded
+  // No old listing has been discarded, and the store has not been restored.
+  bool may_list_old_ = true;
   // The next watch starts here. The epoch is the latest that is known, and the
   // revision is 0 while a listing is needed.
   StorePosition watched_;
--- a/tests/discovery/restored_store_test.cc
+++ b/tests/discovery/restored_store_test.cc
@@ -54,6 +54,19 @@
   EXPECT_EQ(listings_[0].items[0].key, "c");
 }
 
+TEST_F(RestoredFollowerTest, AnOldListingOfARestoredStoreIsNotUsed) {
+  FollowerOptions options;
+  options.first_listing_may_be_old = true;
+  StoreFollower follower(options, Reader(), Hooks());
+  answers_ = {At({2, 97}, {MakeChange("lost", 97)}), At({2, 60}), At({2, 60})};
+  follower.Step();
+  follower.Step();
+  EXPECT_EQ(listed_old_, (std::vector<bool>{true, false}));
+  ASSERT_EQ(listings_.size(), 1U);
+  EXPECT_TRUE(listings_[0].items.empty());
+  EXPECT_EQ(watched_after_, std::vector<uint64_t>{60});
+}
+
 TEST_F(RestoredFollowerTest, LateResponsesOfAnEarlierEpochAreNotUsed) {
   answers_ = {At({2, 10}), At({1, 90}, {MakeChange("a", 90)}),
               Failed(ReadStatus::kHistoryGone), At({1, 91}), At({2, 12})};
