Use a lapsed target again that renewed its entry in a restored store

The entry of a target lapses, for instance because the target cannot reach the store, and the store comes back from a copy that has the entry again. The target renews it without changing it, so that no change tells of it: the target was retired 4 s after the return, or stayed retired, until it changed its entry, possibly for good. Callers would see a smaller service, never a wrong target.

Cause: an entry in the copy does not show that the target lives, and was taken for nothing at all.

Change: an entry that is still there 6 s after the return has been renewed, since it lapses within three heartbeats otherwise. The target is then active again. A target that drained, whose address another one took, or whose entry could not be read is left as it is.

--- a/src/discovery/target_registry.cc
+++ b/src/discovery/target_registry.cc
@@ -142,17 +142,20 @@
     ++counts->replaced;
     return Apply(change, now);
   }
-  // The copy may be all that is left of a target that ended since, so that an
-  // entry in it does not show that the target lives.
   ++counts->kept;
   entry.position = change.position;
-  if (entry.retire_at) {
-    entry.retire_at = now + options_.restore_grace_period;
+  entry.retire_at.reset();
+  if (entry.state == TargetState::kLapsed || entry.stayed_away) {
+    // The copy may be all that is left of a target that ended since, so that an
+    // entry in it does not show that the target lives. No change tells that a
+    // target has renewed its entry.
+    entry.reactivate_at = now + options_.restored_entry_lifetime;
   }
   return false;
 }
 
 void TargetRegistry::AwaitNewEntry(Entry& entry, TimePoint now) {
+  entry.reactivate_at.reset();
   if (entry.state == TargetState::kRetired) {
     return;
   }
@@ -192,9 +195,9 @@
   config.config = config_;
   listing.items.push_back(std::move(config));
   for (const auto& [key, entry] : targets_) {
-    if ((entry.state != TargetState::kActive &&
-         entry.state != TargetState::kDraining) ||
-        entry.retire_at) {
+    const bool is_in_use = entry.state == TargetState::kActive ||
+                           entry.state == TargetState::kDraining;
+    if (entry.retire_at || !(is_in_use || entry.reactivate_at)) {
       continue;
     }
     StoreChange item;
@@ -224,6 +227,7 @@
     }
     Entry& entry = it->second;
     entry.position = change.position;
+    entry.reactivate_at.reset();
     const TargetState before = entry.state;
     if (!change.removed) {
       Retire(entry, false, "unreadable", now);
@@ -232,6 +236,8 @@
     } else if (before == TargetState::kActive) {
       SetState(entry, TargetState::kLapsed, "entry-vanished", now);
       entry.retire_at = now + options_.lapse_grace_period;
+    } else if (before == TargetState::kLapsed && !entry.retire_at) {
+      entry.retire_at = now + options_.lapse_grace_period;
     }
     return entry.state != before;
   }
@@ -244,6 +250,8 @@
   AddToIndexes(entry);
   entry.position = change.position;
   entry.retire_at.reset();
+  entry.reactivate_at.reset();
+  entry.stayed_away = false;
   entry.warm_up_until = now + next.warm_up_left;
   SetState(entry, next.draining ? TargetState::kDraining : TargetState::kActive,
            it == targets_.end() ? "joined" : "entry-changed", now);
@@ -300,6 +308,8 @@
                             bool gone,
                             std::string_view reason,
                             TimePoint now) {
+  entry.reactivate_at.reset();
+  entry.stayed_away = false;
   if (entry.state != TargetState::kRetired) {
     entry.gone = gone;
     entry.retire_at.reset();
@@ -360,9 +370,16 @@
     Entry& entry = it->second;
     if (entry.retire_at && now >= *entry.retire_at) {
       Retire(entry, true, "entry-stayed-away", now);
+      entry.stayed_away = !entry.record.draining;
+      changed = true;
+    }
+    if (entry.reactivate_at && now >= *entry.reactivate_at) {
+      entry.reactivate_at.reset();
+      entry.stayed_away = false;
+      SetState(entry, TargetState::kActive, "entry-renewed", now);
       changed = true;
     }
-    if (entry.state == TargetState::kRetired &&
+    if (entry.state == TargetState::kRetired && !entry.reactivate_at &&
         now - entry.state_changed_at >= options_.retired_token_lifetime) {
       RemoveFromIndexes(entry);
       it = targets_.erase(it);
--- a/src/discovery/target_registry.h
+++ b/src/discovery/target_registry.h
@@ -31,6 +31,11 @@
   // again within two seconds of the store's return; the rest allows for the
   // time until this VM learns of it.
   Duration restore_grace_period = std::chrono::seconds(4);
+  // When to believe an entry of the restored store's copy that had lapsed
+  // before the return. An entry lapses after three heartbeats of its target,
+  // two to three seconds; the rest allows for the time until this VM learns of
+  // it. An entry that is still there has been renewed.
+  Duration restored_entry_lifetime = std::chrono::seconds(6);
   // How long the token of a retired target stays known: the longest lifetime of
   // a flow.
   Duration retired_token_lifetime = std::chrono::seconds(60);
@@ -54,14 +59,17 @@
   // The first listing of a later epoch shows a store that was restored from an
   // older copy. What this VM knows may be newer than the copy, although the
   // store has lost it: a target keeps its later report, and one that the copy
-  // lacks is kept until restore_grace_period has passed.
+  // lacks is kept until restore_grace_period has passed. A target whose entry
+  // had lapsed, and that the copy has again, is used again after
+  // restored_entry_lifetime.
   bool ApplyListing(const Listing& listing, TimePoint now);
 
   // The configuration and all active and draining targets that the store has,
   // for other VMs. The revision is 0 before the first listing.
   Listing Snapshot() const;
 
-  // Retires targets whose grace period has ended and removes old retired ones.
+  // Retires targets whose grace period has ended, uses those again that renewed
+  // the entry of a restored store, and removes old retired ones.
   // Returns whether the view changed.
   bool Tick(TimePoint now);
 
@@ -78,11 +86,16 @@
     forward::TargetState state = forward::TargetState::kActive;
     StorePosition position;  // of the last change
     bool gone = false;       // while retired: it has left or ended
+    // While retired: only because its entry was missing for too long.
+    bool stayed_away = false;
     TimePoint warm_up_until;
     TimePoint state_changed_at;
     // While the store has no entry of the target, although it has not drained:
     // when to retire it.
     std::optional<TimePoint> retire_at;
+    // While only the copy of a restored store has the target's entry, which had
+    // lapsed: when to use the target again. Never set together with retire_at.
+    std::optional<TimePoint> reactivate_at;
   };
 
   // What a listing of a restored store changed, for the log.
--- a/tests/discovery/restored_store_test.cc
+++ b/tests/discovery/restored_store_test.cc
@@ -227,6 +227,36 @@
   EXPECT_EQ(StateOf(7), TargetState::kActive);
 }
 
+TEST_F(RestoredRegistryTest, ALapsedTargetThatRenewsItsCopyIsUsedAgain) {
+  for (const bool is_retired : {false, true}) {
+    const uint64_t epoch = is_retired ? 3 : 1;
+    const auto copy = [&](uint64_t e) {
+      return std::vector{MakeTarget({e, 5}, 3, false, 7),
+                         MakeTarget({e, 6}, 3, false, 8)};
+    };
+    List({epoch, 10}, copy(epoch));
+    Pass(options_.restored_entry_lifetime);
+    ASSERT_EQ(StateOf(7), TargetState::kActive);
+    List({epoch, 12}, {});
+    Pass(is_retired ? options_.lapse_grace_period : seconds(1));
+    List({epoch + 1, 10}, copy(epoch + 1));
+    const auto waiting =
+        is_retired ? TargetState::kRetired : TargetState::kLapsed;
+    EXPECT_EQ(StateOf(7), waiting);
+    // Other VMs may get their view from this one.
+    EXPECT_EQ(registry_.Snapshot().items.size(), 3U);
+    StoreChange removal;
+    removal.key = "servers/i-8";
+    removal.position = {epoch + 1, 11};
+    removal.removed = true;
+    removal.is_target = true;
+    Change(removal);
+    Pass(options_.restored_entry_lifetime);
+    EXPECT_EQ(StateOf(7), TargetState::kActive);
+    EXPECT_EQ(StateOf(8), TargetState::kRetired);
+  }
+}
+
 TEST_F(RestoredRegistryTest, TheConfigurationDoesNotGoBackAndIsWrittenAgain) {
   List({1, 50}, {MakeConfig({1, 40}, 15, 1)});
   List({2, 9}, {MakeConfig({2, 8}, 12, 3)});
