Let the soak find changes below the revisions that a restored store lost

The soak's store went back, but hardly any revisions were lost, and what was lost was written again at once: the program of before the fix passed it. A check that cannot fail shows nothing.

Change: 50 revisions and some targets are written before a return, and targets drain right after it, so that their drains have lower revisions than what the VMs had seen.

--- a/lab/forward_soak.cc
+++ b/lab/forward_soak.cc
@@ -204,10 +204,32 @@
     };
     for (Duration at = span(0, 3000); at < length; at += span(2000, 8000)) {
       ScheduleAfter(at, [this] { store_.TakeCopy(); });
+      at += span(10, 2000);
+      ScheduleAfter(at, [this] { WriteManyRevisions(); });
       at += span(200, 4000);
       ScheduleAfter(at, [this] { store_.RestoreCopy(); });
       at += span(10, 1000);
-      ScheduleAfter(at, [this] { store_.WriteLostItems(); });
+      ScheduleAfter(at, [this] {
+        store_.WriteLostItems();
+        ReplaceTargets();
+      });
+    }
+  }
+
+  // Makes the revisions that a return undoes much higher than those that the
+  // store gives out soon after it, also for targets that drain then.
+  void WriteManyRevisions() {
+    constexpr int kRevisions = 50;
+    for (int i = 0; i < kRevisions; ++i) {
+      environment_.WriteInvalidEntry();
+    }
+    ReplaceTargets();
+  }
+
+  void ReplaceTargets() {
+    constexpr int kTargets = 3;
+    for (int i = 0; i < kTargets; ++i) {
+      environment_.ReplaceTarget(SteadyNow());
     }
   }
 
