--- a/src/app/forward_process.cc
+++ b/src/app/forward_process.cc
@@ -2,9 +2,9 @@
 //
 // The calling thread (control thread) owns the targets and the configuration,
 // handles signals, and answers requests for readiness, metrics, snapshots and
-// changes. A
-// second thread forwards packets, and a third follows the platform's store. The
-// threads exchange immutable views and decoded changes by posting them.
+// changes. A second thread forwards packets, and a third follows the platform's
+// store. The threads exchange immutable views and decoded changes by posting
+// them.
 #include "src/app/forward_process.h"
 
 #include <asio/io_context.hpp>
