Let the soak signal a VM only once it executes the program

A signal in that time ends the soak's child, not a VM.

Change: posix_spawn(), which returns when the child executes the program, and reports a program that cannot be executed ("did not start" in place of an exit with 127). A VM that SIGHUP ends after that is a failure as before.

--- a/lab/forward_soak.cc
+++ b/lab/forward_soak.cc
@@ -13,6 +13,7 @@
 #include <random>
 #include <string>
 #include <thread>
+#include <utility>
 #include <vector>
 
 #include "lab/soak_environment.h"
@@ -56,7 +57,7 @@
       return false;
     }
     for (SoakVm& it : vms_.all()) {
-      vms_.Start(it);
+      Start(it);
     }
     RunFor(seconds(2), false);
     ScheduleRestores(length);
@@ -150,12 +151,19 @@
     StartAfterExit(vm, down);
   }
 
+  void Start(SoakVm& vm) {
+    std::string error = vms_.Start(vm);
+    if (!error.empty()) {
+      failures_.push_back(std::move(error));
+    }
+  }
+
   void StartAfterExit(SoakVm& vm, Duration delay) {
     ScheduleAfter(delay, [this, &vm] {
       if (vm.pid != 0) {
         StartAfterExit(vm, milliseconds(50));
       } else {
-        vms_.Start(vm);
+        Start(vm);
       }
     });
   }
--- a/lab/soak_vms.cc
+++ b/lab/soak_vms.cc
@@ -2,10 +2,12 @@
 #include "lab/soak_vms.h"
 
 #include <fcntl.h>
+#include <spawn.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
 #include <csignal>
+#include <cstring>
 #include <fstream>
 
 #include "platform/readiness_path.h"
@@ -90,22 +92,29 @@
   return "";
 }
 
-void SoakVms::Start(SoakVm& vm) {
+std::string SoakVms::Start(SoakVm& vm) {
   const std::string log = (folder_ / (vm.name + ".log")).string();
   const std::string settings_file = vm.settings_path.string();
-  const pid_t pid = fork();
-  if (pid == 0) {
-    const int fd = open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
-    dup2(fd, STDOUT_FILENO);
-    dup2(fd, STDERR_FILENO);
-    execl(binary_.c_str(), "marjoramhall", "forward", "--settings",
-          settings_file.c_str(), nullptr);
-    _exit(127);
+  const char* const arguments[] = {"marjoramhall", "forward", "--settings",
+                                   settings_file.c_str(), nullptr};
+  posix_spawn_file_actions_t files;
+  posix_spawn_file_actions_init(&files);
+  posix_spawn_file_actions_addopen(&files, STDOUT_FILENO, log.c_str(),
+                                   O_WRONLY | O_CREAT | O_APPEND, 0644);
+  posix_spawn_file_actions_adddup2(&files, STDOUT_FILENO, STDERR_FILENO);
+  // Returns when the child executes the binary. Beside load that takes up to a
+  // second, in which a signal would end the child before it is a VM.
+  const int error = posix_spawn(&vm.pid, binary_.c_str(), &files, nullptr,
+                                const_cast<char* const*>(arguments), environ);
+  posix_spawn_file_actions_destroy(&files);
+  if (error != 0) {
+    vm.pid = 0;
+    return vm.name + " did not start: " + std::strerror(error);
   }
-  vm.pid = pid;
   vm.suspended = false;
   vm.terminating = false;
   vm.last_fault_end = SteadyNow();
+  return "";
 }
 
 void SoakVms::SendSignal(SoakVm& vm, int signal) {
--- a/lab/soak_vms.h
+++ b/lab/soak_vms.h
@@ -47,7 +47,9 @@
   // string.
   std::string Prepare(size_t n, const Endpoint& store);
 
-  void Start(SoakVm& vm);
+  // Returns when the process executes the binary. Returns an error, or an empty
+  // string.
+  std::string Start(SoakVm& vm);
   void SendSignal(SoakVm& vm, int signal);
   // Reaps exited processes. Returns a failure, such as an unexpected exit or a
   // shutdown that exceeds the grace period, or an empty string.
