Receive again after a suspension before new SYNs are accepted

Callers would see a new flow fail that was open.

Cause: SYNs that waited while a VM was suspended are dropped until the socket has been read empty. A receive call with less than a full batch counted as that, also if it returned before the suspension. The SYNs that came during the suspension were then taken for new ones; their clients had sent them again through another VM. Class: a check of a state at a time that is not that of the check.

Change: if the VM was suspended since the begin of a receive call, another one follows before the SYNs are accepted again. The clock of the loop is a hook, so that a test can play a suspension between the call and its packets.

--- a/src/forward/forwarder.cc
+++ b/src/forward/forwarder.cc
@@ -41,12 +41,12 @@
   admission_.OnView(*view_);
 }
 
-void Forwarder::OnReceiveBatch(TimePoint boot_now) {
-  if (last_batch_at_ != TimePoint() &&
-      boot_now - last_batch_at_ >= kStaleSynGap) {
-    resuming_ = true;
-  }
+bool Forwarder::OnReceiveBatch(TimePoint boot_now) {
+  const bool is_gap = last_batch_at_ != TimePoint() &&
+                      boot_now - last_batch_at_ >= kStaleSynGap;
+  resuming_ |= is_gap;
   last_batch_at_ = boot_now;
+  return is_gap;
 }
 
 PacketVerdict Forwarder::OnPacket(const PacketHeader& header,
--- a/src/forward/forwarder.h
+++ b/src/forward/forwarder.h
@@ -108,8 +108,10 @@
   // they are passed in, and again before each SYN of the batch. After a long
   // gap, for instance because this VM was suspended, SYNs are dropped until the
   // next OnTick(). Their clients have retransmitted them, so another VM may
-  // have opened the flow at a target of its choice.
-  void OnReceiveBatch(TimePoint boot_now);
+  // have opened the flow at a target of its choice. Returns whether there was
+  // such a gap since the last call: more packets may have waited than the
+  // receive call saw, if it returned before the gap.
+  bool OnReceiveBatch(TimePoint boot_now);
 
   // Decides about one packet. `datagram` is the packet in wire format.
   // Cost: two hash lookups, and for a SYN one pass over the targets of the
--- a/src/net/packet_path.cc
+++ b/src/net/packet_path.cc
@@ -27,6 +27,7 @@
   Impl(PacketPathOptions options, forward::PacketCodec codec, Hooks hooks)
       : options_(options),
         codec_(std::move(codec)),
+        boot_now_(std::move(hooks.boot_now)),
         log_rate_limiter_({}),
         forwarder_(options.forwarder, MakeHooks(std::move(hooks))) {}
 
@@ -82,13 +83,14 @@
         n = socket_.Receive(received_);
         // Called after the packets were received, because they may have waited
         // in the socket while the VM was suspended.
-        forwarder_.OnReceiveBatch(BootTimeNow());
+        was_suspended_ = forwarder_.OnReceiveBatch(boot_now_());
         const TimePoint now = SteadyNow();
         for (size_t i = 0; i < n; ++i) {
           OnDatagram(i, now);
         }
         Flush();
-      } while (n == kUdpBatchSize);
+        // After a suspension, only a later receive call shows what waited.
+      } while (n == kUdpBatchSize || was_suspended_);
       const TimePoint now = SteadyNow();
       forwarder_.OnTick(now);
       Flush();
@@ -119,7 +121,7 @@
     }
     if (header.syn) {
       // The VM may have been suspended since the batch was received.
-      forwarder_.OnReceiveBatch(BootTimeNow());
+      was_suspended_ |= forwarder_.OnReceiveBatch(boot_now_());
     }
     const auto verdict = forwarder_.OnPacket(header, datagram, now);
     switch (verdict.action) {
@@ -181,7 +183,10 @@
 
   const PacketPathOptions options_;
   const forward::PacketCodec codec_;
+  const Clock boot_now_;
   UdpSocket socket_;
+  // The VM was suspended since the begin of the last receive call.
+  bool was_suspended_ = false;
   observe::LogRateLimiter log_rate_limiter_;
   forward::Forwarder forwarder_;
   ReceiveBatch received_;
--- a/src/net/packet_path.h
+++ b/src/net/packet_path.h
@@ -13,6 +13,7 @@
 
 #include "src/base/decision.h"
 #include "src/base/endpoint.h"
+#include "src/base/time.h"
 #include "src/forward/forwarder.h"
 #include "src/forward/packet.h"
 #include "src/forward/view.h"
@@ -41,6 +42,8 @@
   struct Hooks {
     DecisionHook decide;
     std::function<void(Duration)> on_response;
+    // A clock that also advances while the VM is suspended.
+    Clock boot_now = BootTimeNow;
   };
   PacketPath(PacketPathOptions options,
              forward::PacketCodec codec,
