--- a/tests/net/packet_path_test.cc
+++ b/tests/net/packet_path_test.cc
@@ -4,9 +4,11 @@
 
 #include <gtest/gtest.h>
 
-#include <atomic>
 #include <chrono>
+#include <memory>
+#include <span>
 #include <thread>
+#include <utility>
 
 #include "src/net/flow_path_socket.h"
 
