--- a/review/standins/flows.cc
+++ b/review/standins/flows.cc
@@ -92,6 +92,7 @@
   uint16_t port = 0;
   std::tuple<uint32_t, uint16_t, uint16_t> key;
   uint64_t number = 0;
+  uint32_t initial = 0;         // sequence number of the SYN
   uint32_t sequence = 0;        // of the next byte to send
   uint32_t expected = 0;        // of the next byte to receive
   uint32_t echo = 0;            // last received
@@ -371,7 +372,8 @@
   }
   flow->key = {flow->address, flow->port, flow->kind->port};
   flow->number = ++opened_;
-  flow->sequence = static_cast<uint32_t>(random_());
+  flow->initial = static_cast<uint32_t>(random_());
+  flow->sequence = flow->initial;
   flow->requests_left = traffic_.requests_per_flow;
   ClientFlow* it = flow.get();
   if (Find(it->key) != nullptr) {
@@ -509,6 +511,9 @@
     OnReset(*flow, sender, sender_name);
     return;
   }
+  if ((packet.flags & kSyn) != 0 && packet.acknowledged != flow->initial + 1) {
+    return;  // the answer to a SYN of another flow from this port
+  }
   flow->echo = packet.echo;
   if ((packet.flags & kSyn) != 0) {
     if (flow->has_answer) {
