Send a SYN to another target only if the first is silent

Cause: a VM that had the SYN and saw no further packet for 40 ms sent the SYN to further targets. It took "no packet came through me" for "the target does not answer". When the rotation changes between SYN and end of the handshake, the packet comes through another VM and the flow is open; the second target answers too, and the client repeats the second token on the flow of the first.

Why it works: another target gets the SYN only after evidence of the target's silence that no change of the rotation explains: two SYNs 20 to 200 ms apart while this VM still receives packets, or a retransmission by the client. The SYN goes once more to its own target meanwhile, which is harmless if the flow is open.

--- a/src/app/forward_metrics.cc
+++ b/src/app/forward_metrics.cc
@@ -26,6 +26,7 @@
       {"opening", &Counters::syn_packets},
       {"placed", &Counters::placed_flows},
       {"repeated", &Counters::resent_syns},
+      {"moved", &Counters::moved_syns},
       {"answered", &Counters::answered_syns},
       {"response", &Counters::responses}};
   for (const auto& [label, member] : events) {
--- a/src/forward/flow_tracker.cc
+++ b/src/forward/flow_tracker.cc
@@ -26,7 +26,7 @@
   const auto [it, is_new] = flows_.try_emplace(key);
   it->second = TrackedFlow{};
   it->second.added_at = now;
-  it->second.last_syn_at = now;
+  it->second.assigned_at = now;
   it->second.request_started_at = now;
   if (is_new) {
     expiry_checks_.push_back({key, now + kExpiryCheckInterval});
@@ -64,13 +64,14 @@
   }
 }
 
-void FlowTracker::RunSynChecks(TimePoint now, const FlowCallback& check) {
+void FlowTracker::RunSynChecks(TimePoint now, const SynCheck& check) {
   while (!syn_checks_.empty() && syn_checks_.front().at <= now) {
     const Timer timer = syn_checks_.front();
     syn_checks_.pop_front();
-    if (TrackedFlow* flow = Find(timer.key);
-        flow != nullptr && flow->phase == FlowPhase::kSynSent) {
-      check(timer.key, *flow);
+    TrackedFlow* flow = Find(timer.key);
+    if (flow != nullptr && flow->phase == FlowPhase::kSynSent &&
+        check(timer.key, *flow)) {
+      ScheduleSynCheck(timer.key, now);
     }
   }
 }
--- a/src/forward/flow_tracker.h
+++ b/src/forward/flow_tracker.h
@@ -12,21 +12,23 @@
 
 #include "src/base/time.h"
 #include "src/forward/packet.h"
+#include "src/forward/target_silence.h"
 #include "src/forward/view.h"
 
 namespace marjoramhall::forward {
 
-// Number of targets that one SYN may be sent to, including for retransmissions
-// by the client.
+// Number of targets that one SYN may be sent to.
 inline constexpr size_t kMaxSynAttempts = 4;
 // Clients stop retransmitting a SYN after 1.4 s.
 inline constexpr Duration kSynTimeout = std::chrono::milliseconds(1400);
 // Lifetime of a tracked flow after its last request began. It exceeds the
 // request deadlines of all deployments.
 inline constexpr Duration kTrackedFlowTimeout = std::chrono::seconds(8);
-// Interval at which the timeouts of a flow are checked.
+// Intervals at which the timeouts of a flow and its unanswered SYN are checked.
 inline constexpr Duration kExpiryCheckInterval = std::chrono::milliseconds(200);
 
+inline constexpr Duration kSynCheckInterval = std::chrono::milliseconds(20);
+
 enum class FlowPhase {
   kSynSent,            // a SYN was sent to a target
   kRequestInProgress,  // the target may be working on a request
@@ -36,12 +38,15 @@
 
 struct TrackedFlow {
   FlowPhase phase = FlowPhase::kSynSent;
-  TargetToken token = TargetToken::kNone;  // target that the request counts for
-  uint64_t route_key = 0;                  // RouteKeyOf()
+  TargetToken token = TargetToken::kNone;  // target that the flow is sent to
+  // Whether the flow counts as an outstanding request of that target.
+  bool is_outstanding = false;
+  uint64_t route_key = 0;  // RouteKeyOf()
   TimePoint added_at;
-  TimePoint last_syn_at;
+  TimePoint assigned_at;  // when the SYN was first sent to the target
   TimePoint request_started_at;
-  // From the SYN to the next packet of the flow. 0 if this VM did not see both.
+  // From the SYN to the next packet of the flow. 0 if this VM did not see both
+  // or has resent the SYN.
   Duration handshake{0};
   Duration overdue_after = kTrackedFlowTimeout;  // of the request in progress
   uint32_t request_sequence = 0;  // of the request's first packet
@@ -51,6 +56,8 @@
   // Targets in the order of use. The first `attempts` elements are set.
   std::array<TargetToken, kMaxSynAttempts> tried_targets{};
   uint8_t attempts = 0;
+  bool is_syn_resent = false;  // by this VM, to the current target
+  uint32_t syn_sequence = 0;   // valid if `attempts` is not 0
   HeaderOnlyPacket syn_packet{};
 };
 
@@ -73,13 +80,14 @@
               const FlowCallback& on_overdue,
               const FlowCallback& on_expired);
 
-  // Schedules a check of an unanswered SYN. All delays must be the same.
-  void ScheduleSynCheck(const FlowKey& key, TimePoint at) {
-    syn_checks_.push_back({key, at});
+  // Starts the checks of an unanswered SYN, at intervals of kSynCheckInterval.
+  void ScheduleSynCheck(const FlowKey& key, TimePoint now) {
+    syn_checks_.push_back({key, now + kSynCheckInterval});
   }
   // Calls `check` for the flows that are due and still wait for an answer to
-  // their SYN.
-  void RunSynChecks(TimePoint now, const FlowCallback& check);
+  // their SYN. It returns whether to go on with the checks of the flow.
+  using SynCheck = std::function<bool(const FlowKey&, TrackedFlow&)>;
+  void RunSynChecks(TimePoint now, const SynCheck& check);
 
   size_t size() const { return flows_.size(); }
 
--- a/src/forward/forwarder.cc
+++ b/src/forward/forwarder.cc
@@ -9,9 +9,9 @@
 namespace marjoramhall::forward {
 namespace {
 
-// A target that answered within this time is considered alive. A SYN without an
-// answer was then probably lost, and is resent to the same target.
-constexpr Duration kRecentAnswerWindow = std::chrono::milliseconds(300);
+// Retransmission of a SYN by the client after which its target is given up even
+// if it answers others. The target has sent its answer several times by then.
+constexpr uint32_t kLastRetransmission = 2;
 // Gap between two batches after which waiting SYNs are stale. Clients
 // retransmit a SYN after 200 ms, possibly through another VM. Without a
 // suspension the gaps are at most 20 ms long.
@@ -53,6 +53,7 @@
                                   std::span<const uint8_t> datagram,
                                   TimePoint now) {
   ++counters_.packets;
+  last_packet_at_ = now;
   if (view_ == nullptr || view_->config_version == 0 ||
       view_->targets.empty()) {
     return Refuse(header, Reason::kNoView, now);
@@ -91,16 +92,20 @@
     return Refuse(header, Reason::kNoRoute, now);
   }
   TrackedFlow* flow = flows_.Find(header.flow);
-  if (flow != nullptr && flow->phase != FlowPhase::kSynSent) {
-    if (header.acknowledged > 0) {
-      return Refuse(header, Reason::kDuplicateSyn, now);
-    }
-    // The client reuses the port for a new flow.
+  const bool is_open = flow != nullptr && flow->phase != FlowPhase::kSynSent;
+  const bool is_reused_port =
+      flow != nullptr && (is_open ? header.acknowledged == 0
+                                  : header.sequence != flow->syn_sequence);
+  if (is_open && !is_reused_port) {
+    return Refuse(header, Reason::kDuplicateSyn, now);
+  }
+  if (is_reused_port) {
     ReleaseRequest(*flow);
     flows_.Remove(header.flow);
     flow = nullptr;
   }
   TrackedFlow untracked;
+  TargetEntry* entry = nullptr;
   if (flow == nullptr) {
     // Admission control does not refuse a retransmitted SYN, because another VM
     // may have admitted the flow.
@@ -113,15 +118,18 @@
     flow = flows_.Add(header.flow, now);
     if (flow == nullptr) {
       flow = &untracked;
+    } else {
+      flows_.ScheduleSynCheck(header.flow, now);
     }
     flow->route_key = key;
+    flow->syn_sequence = header.sequence;
     if (datagram.size() == kPacketHeaderBytes) {
       std::memcpy(flow->syn_packet.data(), datagram.data(), kPacketHeaderBytes);
     }
+    entry = AssignTarget(header.flow, *flow, now);
   } else {
-    CountUnansweredSyn(*flow, now);
+    entry = OnRetransmittedSyn(header, *flow, now);
   }
-  TargetEntry* entry = AssignTarget(header.flow, *flow, now);
   if (entry == nullptr) {
     ReleaseRequest(*flow);
     flows_.Remove(header.flow);
@@ -137,11 +145,32 @@
   uint32_t n = 0;
   for (const TargetEntry* it : targets_.TargetsOf(service)) {
     // Requests at a suspect target do not load the other targets.
-    n += it->IsSuspect() ? 0 : it->outstanding_requests;
+    n += it->silence.IsSuspect() ? 0 : it->outstanding_requests;
   }
   return n;
 }
 
+TargetEntry* Forwarder::OnRetransmittedSyn(const PacketHeader& header,
+                                           TrackedFlow& flow,
+                                           TimePoint now) {
+  TargetEntry* entry = targets_.Find(flow.token);
+  if (entry == nullptr || !TakesNewFlows(entry->target.state)) {
+    return AssignTarget(header.flow, flow, now);
+  }
+  if (header.acknowledged == 0 || now - flow.assigned_at < kSynAnswerTimeout) {
+    return entry;  // a duplicate, or the answer may be on its way
+  }
+  const bool has_answered_others = entry->last_answer_at > flow.assigned_at;
+  if (!has_answered_others) {
+    RecordSilence(
+        *entry, [&](TargetSilence& it) { it.OnClientRetransmission(now); },
+        now);
+  } else if (header.acknowledged < kLastRetransmission) {
+    return entry;  // the SYN or its answer was probably lost
+  }
+  return AssignTarget(header.flow, flow, now);
+}
+
 TargetEntry* Forwarder::AssignTarget(const FlowKey& key,
                                      TrackedFlow& flow,
                                      TimePoint now) {
@@ -151,65 +180,72 @@
   }
   const std::span<const TargetToken> tried(flow.tried_targets.data(),
                                            flow.attempts);
-  TargetEntry* entry = nullptr;
-  if (flow.attempts > 0) {
-    // The SYN was probably lost when its target has just answered others.
-    TargetEntry* last = targets_.Find(flow.token);
-    if (last != nullptr && flow.attempts == 1 &&
-        TakesNewFlows(last->target.state) &&
-        now - last->last_answer_at < kRecentAnswerWindow) {
-      entry = last;
-    }
-  }
-  if (entry == nullptr) {
-    entry = picker_.Pick(targets_, SelectService(route->second, key),
-                         {tried, !tried.empty()}, now);
-  }
+  TargetEntry* entry = picker_.Pick(targets_, SelectService(route->second, key),
+                                    {tried, !tried.empty()}, now);
   if (entry == nullptr) {
     return nullptr;
   }
-  ReleaseRequest(flow);
   flow.phase = FlowPhase::kSynSent;
-  flow.token = entry->target.token;
-  flow.last_syn_at = now;
+  CountRequest(flow, *entry);
+  flow.assigned_at = now;
+  flow.is_syn_resent = false;
   if (flow.attempts < kMaxSynAttempts) {
     flow.tried_targets[flow.attempts++] = flow.token;
-    flows_.ScheduleSynCheck(key, now + kSynAnswerTimeout);
   }
-  ++entry->outstanding_requests;
   counters_.placed_flows += flow.attempts == 1 ? 1 : 0;
   LogAssignment(key, flow, *entry, now);
   return entry;
 }
 
-void Forwarder::CountUnansweredSyn(const TrackedFlow& flow, TimePoint now) {
-  if (now - flow.last_syn_at < kSynAnswerTimeout) {
-    return;
-  }
-  TargetEntry* entry = targets_.Find(flow.token);
-  if (entry != nullptr && entry->last_answer_at < flow.last_syn_at) {
-    ++entry->unanswered_syns;
-    if (entry->unanswered_syns == kSuspectThreshold) {
-      entry->last_probe_at = now;
-      LogTargetHealth(*entry, "suspect", Reason::kUnanswered, now);
-    }
+bool Forwarder::IsTargetSilent(const TrackedFlow& flow,
+                               const TargetEntry& entry) const {
+  return entry.last_answer_at <= flow.assigned_at &&
+         last_packet_at_ >= flow.assigned_at + kAnswerDue;
+}
+
+void Forwarder::RecordSilence(TargetEntry& entry,
+                              const std::function<void(TargetSilence&)>& record,
+                              TimePoint now) {
+  const bool was_suspect = entry.silence.IsSuspect();
+  record(entry.silence);
+  if (!was_suspect && entry.silence.IsSuspect()) {
+    entry.last_probe_at = now;
+    LogTargetHealth(entry, "suspect", Reason::kUnanswered, now);
   }
 }
 
-void Forwarder::ResendSyn(const FlowKey& key,
-                          TrackedFlow& flow,
-                          TimePoint now) {
-  if (now - flow.last_syn_at < kSynAnswerTimeout || flow.syn_packet[0] == 0) {
-    return;
+bool Forwarder::CheckSynAnswer(const FlowKey& key,
+                               TrackedFlow& flow,
+                               TimePoint now) {
+  if (flow.assigned_at < resumed_at_) {
+    return false;  // the flow has moved to another VM during a suspension
   }
-  CountUnansweredSyn(flow, now);
-  if (flow.attempts >= kMaxSynAttempts) {
-    return;
+  TargetEntry* entry = targets_.Find(flow.token);
+  if (entry == nullptr || now - flow.assigned_at < kSynAnswerTimeout ||
+      flow.syn_packet[0] == 0) {
+    return entry != nullptr;
+  }
+  const bool is_silent = IsTargetSilent(flow, *entry);
+  if (is_silent) {
+    RecordSilence(
+        *entry,
+        [&](TargetSilence& it) { it.OnUnansweredSyn(flow.assigned_at); }, now);
+  }
+  if (entry->target.gone || (is_silent && entry->silence.IsConfirmed())) {
+    entry = flow.attempts < kMaxSynAttempts ? AssignTarget(key, flow, now)
+                                            : nullptr;
+    counters_.moved_syns += entry != nullptr ? 1 : 0;
+  } else if (flow.is_syn_resent || !TakesNewFlows(entry->target.state)) {
+    entry = nullptr;
+  } else {
+    flow.is_syn_resent = true;  // the packet may have been lost
+    LogAssignment(key, flow, *entry, now);
   }
-  if (const TargetEntry* entry = AssignTarget(key, flow, now)) {
+  if (entry != nullptr) {
     ++counters_.resent_syns;
     hooks_.resend_syn(flow.syn_packet, entry->target);
   }
+  return true;
 }
 
 PacketVerdict Forwarder::OnNonSyn(const PacketHeader& header, TimePoint now) {
@@ -222,7 +258,7 @@
   }
   TrackPacket(header, *entry, now);
   if (IsAbandoned(header, *entry, now)) {
-    if (const TrackedFlow* flow = flows_.Find(header.flow)) {
+    if (TrackedFlow* flow = flows_.Find(header.flow)) {
       ReleaseRequest(*flow);
       flows_.Remove(header.flow);
     }
@@ -272,21 +308,17 @@
   }
   if (flow->phase == FlowPhase::kSynSent) {
     ++counters_.answered_syns;
-    entry.unanswered_syns = 0;
+    entry.silence.OnAnswer();
     entry.last_answer_at = now;
-    if (flow->token == header.token) {
-      flow->handshake = now - flow->last_syn_at;
+    if (flow->token == header.token && !flow->is_syn_resent) {
+      flow->handshake = now - flow->assigned_at;
       quick_failures_.OnHandshake(flow->route_key, flow->handshake);
-    } else {
-      ReleaseRequest(*flow);
-      flow->token = header.token;
-      ++entry.outstanding_requests;
     }
+    CountRequest(*flow, entry);
     BeginRequest(header, entry, *flow, now);
   } else if (flow->phase == FlowPhase::kResponded && header.data_bytes > 0 &&
              !ends) {
-    ++entry.outstanding_requests;
-    flow->token = header.token;
+    CountRequest(*flow, entry);
     BeginRequest(header, entry, *flow, now);
   } else if ((flow->phase == FlowPhase::kRequestInProgress ||
               flow->phase == FlowPhase::kRequestOverdue) &&
@@ -365,12 +397,18 @@
   }
 }
 
-void Forwarder::ReleaseRequest(const TrackedFlow& flow) {
-  if (flow.phase == FlowPhase::kResponded ||
-      flow.phase == FlowPhase::kRequestOverdue ||
-      flow.token == TargetToken::kNone) {
+void Forwarder::CountRequest(TrackedFlow& flow, TargetEntry& entry) {
+  ReleaseRequest(flow);
+  flow.token = entry.target.token;
+  flow.is_outstanding = true;
+  ++entry.outstanding_requests;
+}
+
+void Forwarder::ReleaseRequest(TrackedFlow& flow) {
+  if (!std::exchange(flow.is_outstanding, false)) {
     return;
   }
+  // The entry is another one if the target was unknown for a while.
   if (TargetEntry* entry = targets_.Find(flow.token);
       entry != nullptr && entry->outstanding_requests > 0) {
     --entry->outstanding_requests;
@@ -382,7 +420,7 @@
     resumed_at_ = now;
   }
   flows_.RunSynChecks(now, [&](const FlowKey& key, TrackedFlow& flow) {
-    ResendSyn(key, flow, now);
+    return CheckSynAnswer(key, flow, now);
   });
   flows_.Expire(
       now,
--- a/src/forward/forwarder.h
+++ b/src/forward/forwarder.h
@@ -68,7 +68,8 @@
   uint64_t packets = 0;
   uint64_t syn_packets = 0;    // including retransmissions by clients
   uint64_t placed_flows = 0;   // flows that were assigned a target
-  uint64_t resent_syns = 0;    // SYNs that this VM sent to a target again
+  uint64_t resent_syns = 0;    // SYNs that this VM sent again
+  uint64_t moved_syns = 0;     // of these, to another target
   uint64_t answered_syns = 0;  // SYNs that the target answered
   uint64_t responses = 0;      // requests whose response began
   // Packets that were reset or dropped, by Reason.
@@ -142,12 +143,26 @@
   uint32_t RequestsInProgress(ServiceId service) const;
   // The inputs of admission control, for a log line.
   std::string DescribeLoad(const FlowKey& key) const;
-  // Returns null when no target of the service takes new flows.
+  // Returns the target of a SYN that the client has retransmitted, or null when
+  // no target of the service takes new flows.
+  TargetEntry* OnRetransmittedSyn(const PacketHeader& header,
+                                  TrackedFlow& flow,
+                                  TimePoint now);
+  // Assigns a target that the flow has not tried. Returns null when no target
+  // of the service takes new flows.
   TargetEntry* AssignTarget(const FlowKey& key,
                             TrackedFlow& flow,
                             TimePoint now);
-  void ResendSyn(const FlowKey& key, TrackedFlow& flow, TimePoint now);
-  void CountUnansweredSyn(const TrackedFlow& flow, TimePoint now);
+  // Resends an unanswered SYN: to another target only if that of the flow is
+  // known to be silent. Returns whether to check the flow again.
+  bool CheckSynAnswer(const FlowKey& key, TrackedFlow& flow, TimePoint now);
+  // Whether the flow would have been answered through this VM, as far as it can
+  // tell, and its target has answered nobody since.
+  bool IsTargetSilent(const TrackedFlow& flow, const TargetEntry& entry) const;
+  // Adds evidence that a target is silent, and logs when it becomes suspect.
+  void RecordSilence(TargetEntry& entry,
+                     const std::function<void(TargetSilence&)>& record,
+                     TimePoint now);
   // Whether the flow's target is gone and the client still sends the first
   // packet of a request that may run elsewhere.
   bool IsAbandoned(const PacketHeader& header,
@@ -173,8 +188,10 @@
                        Reason reason,
                        TimePoint now);
   void ReportResponseTime(const TrackedFlow& flow, TimePoint now);
+  // Counts the flow's request as outstanding at a target.
+  void CountRequest(TrackedFlow& flow, TargetEntry& entry);
   // Stops counting the flow's request as outstanding.
-  void ReleaseRequest(const TrackedFlow& flow);
+  void ReleaseRequest(TrackedFlow& flow);
   void LogAssignment(const FlowKey& key,
                      const TrackedFlow& flow,
                      const TargetEntry& entry,
@@ -186,6 +203,7 @@
   AdmissionController admission_;
   ViewPtr view_;
   TimePoint view_confirmed_at_;
+  TimePoint last_packet_at_;
   TimePoint last_batch_at_;  // of BootTimeNow()
   TimePoint resumed_at_;     // end of the last long gap between batches
   // Set from a long gap until the next OnTick(). By then all packets that
--- a/src/forward/forwarder_log.cc
+++ b/src/forward/forwarder_log.cc
@@ -75,7 +75,7 @@
                               const TrackedFlow& flow,
                               const TargetEntry& entry,
                               TimePoint now) {
-  const bool first = flow.attempts == 1;
+  const bool first = flow.attempts == 1 && !flow.is_syn_resent;
   if (!hooks_.may_log(!first, now)) {
     return;
   }
@@ -88,7 +88,9 @@
   decision.service = entry.target.service;
   decision.target = TargetId{static_cast<uint32_t>(entry.target.token)};
   decision.revision = view_->config_version;
-  decision.outcome = first ? "placed" : "repeated";
+  decision.outcome = first                ? "placed"
+                     : flow.is_syn_resent ? "repeated"
+                                          : "moved";
   decision.reason = first ? "least-loaded" : NameOf(Reason::kUnanswered);
   decision.detail = detail;
   hooks_.log_decision(decision);
--- a/src/forward/target_picker.cc
+++ b/src/forward/target_picker.cc
@@ -16,7 +16,7 @@
                 entry.target.token) != constraints.tried.end()) {
     return Tier::kTried;
   }
-  if (entry.IsSuspect()) {
+  if (entry.silence.IsSuspect()) {
     const bool probe = constraints.tried.empty() &&
                        now - entry.last_probe_at >= kProbeInterval;
     return probe ? Tier::kUsable : Tier::kSuspect;
@@ -95,7 +95,7 @@
       static_cast<double>(avoided) <=
           options_.max_avoided_fraction * static_cast<double>(candidates);
   TargetEntry* best = avoid ? best_of_working.entry : best_of_all.entry;
-  if (best != nullptr && best->IsSuspect()) {
+  if (best != nullptr && best->silence.IsSuspect()) {
     best->last_probe_at = now;
   }
   return best;
--- a/src/forward/target_table.h
+++ b/src/forward/target_table.h
@@ -9,24 +9,18 @@
 #include <vector>
 
 #include "src/base/time.h"
+#include "src/forward/target_silence.h"
 #include "src/forward/view.h"
 
 namespace marjoramhall::forward {
 
-// A SYN without an answer after this time counts against the target. A round
-// trip to a client and a target takes less than 10 ms on the deployments. The
-// rest allows for a busy VM.
-inline constexpr Duration kSynAnswerTimeout = std::chrono::milliseconds(40);
-// Number of consecutive unanswered SYNs after which a target is suspect. A
-// single one may be a lost packet.
-inline constexpr uint32_t kSuspectThreshold = 2;
 // A suspect target gets one new flow per interval, as a health check.
 inline constexpr Duration kProbeInterval = std::chrono::seconds(1);
 
 struct TargetEntry {
   Target target;
   uint32_t outstanding_requests = 0;  // of this VM, without a response so far
-  uint32_t unanswered_syns = 0;       // consecutive
+  TargetSilence silence;
   TimePoint last_answer_at;
   TimePoint last_probe_at;
   // Smoothed ratio of the response time to the average of the same route. 1 is
@@ -36,8 +30,6 @@
   // again after this time. The next avoidance is twice as long.
   TimePoint avoided_until;
   Duration avoidance{0};
-
-  bool IsSuspect() const { return unanswered_syns >= kSuspectThreshold; }
 };
 
 class TargetTable {
