Let the soak's clients and targets keep to the protocol

The soak could not see flows with two targets: its clients ignored a second SYN+ACK, packets took no time, and one target answered each SYN.

Now packets take 3 ms between clients and VMs, each target that gets a SYN answers with a token of its own and repeats the answer, the client repeats the last token that it has received, and a target that does not hold a flow resets it. All VMs are stopped in turn every 5 to 9 s. Targets start again under their ids, and the store executes reports of targets again some seconds later.

A packet that reaches a target of another token breaks the soak in any case, as before. A flow that a second target resets counts if the VM that sent the second SYN had no unplanned fault for 4 s, as the platform's rule says.

--- a/lab/forward_soak.cc
+++ b/lab/forward_soak.cc
@@ -40,6 +40,7 @@
   Soak(const std::string& binary, const std::string& folder, uint64_t seed)
       : random_(seed),
         restore_random_(seed * 17 + 3),
+        upgrade_random_(seed * 13 + 5),
         vms_(binary, folder),
         environment_(vms_, store_, seed * 31 + 7) {}
 
@@ -61,6 +62,7 @@
     }
     RunFor(seconds(2), false);
     ScheduleRestores(length);
+    ScheduleReportsAndUpgrades(length);
     RunFor(length, true);
     EndFaults();
     RunFor(kSettleTime, false);
@@ -143,6 +145,16 @@
     }
   }
 
+  // Stops and starts all VMs, one after the other, as an upgrade does.
+  void RestartInTurn() {
+    constexpr Duration kGap = milliseconds(1000);
+    for (size_t i = 0; i < kVmCount; ++i) {
+      ScheduleAfter(i * kGap, [this, i] {
+        Restart(vms_.all()[i], SIGTERM, milliseconds(300));
+      });
+    }
+  }
+
   void Restart(SoakVm& vm, int signal, Duration down) {
     if (vm.pid == 0 || vm.terminating || vm.suspended) {
       return;
@@ -191,6 +203,7 @@
   // Records that a fault affects the VM until `until`.
   void MarkFaultUntil(SoakVm& vm, TimePoint until) {
     vm.last_fault_end = std::max(vm.last_fault_end, until);
+    vm.last_unplanned_end = std::max(vm.last_unplanned_end, until);
   }
 
   void DisruptStore(Duration span) {
@@ -205,6 +218,25 @@
     ScheduleAfter(span, [this] { store_.SetRefusing(false); });
   }
 
+  // Late writes of targets that restart and drain, and VMs that are stopped in
+  // turn.
+  void ScheduleReportsAndUpgrades(Duration length) {
+    const auto span = [this](uint64_t min_ms, uint64_t max_ms) {
+      return milliseconds(min_ms + upgrade_random_() % (max_ms - min_ms));
+    };
+    for (Duration at = span(0, 1000); at < length; at += span(100, 1500)) {
+      ScheduleAfter(at, [this] {
+        environment_.DelayReport(SteadyNow());
+        environment_.RestartTarget();
+      });
+      ScheduleAfter(at + span(0, 3000),
+                    [this] { environment_.ReplaceTarget(SteadyNow()); });
+    }
+    for (Duration at = span(0, 4000); at < length; at += span(5000, 9000)) {
+      ScheduleAfter(at, [this] { RestartInTurn(); });
+    }
+  }
+
   // Lets the store come back from an older copy, every few seconds.
   void ScheduleRestores(Duration length) {
     const auto span = [this](uint64_t min_ms, uint64_t max_ms) {
@@ -280,7 +312,9 @@
   }
 
   std::mt19937_64 random_;
-  std::mt19937_64 restore_random_;  // leaves the order of other faults alone
+  // Leave the order of other faults alone.
+  std::mt19937_64 restore_random_;
+  std::mt19937_64 upgrade_random_;
   platform::StandInStore store_;
   SoakVms vms_;
   SoakEnvironment environment_;
--- a/lab/soak_environment.cc
+++ b/lab/soak_environment.cc
@@ -2,10 +2,12 @@
 #include "lab/soak_environment.h"
 
 #include <algorithm>
-#include <set>
+
+#include "lab/soak_environment_impl.h"
 
 #include "platform/packet_codec.h"
 #include "src/base/time.h"
+#include "src/discovery/target_registry.h"
 
 namespace marjoramhall::lab {
 namespace {
@@ -13,10 +15,6 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-constexpr uint32_t kClientAddress = 0x7f000401;   // 127.0.4.1
-constexpr uint32_t kServiceAddress = 0xc6120001;  // 198.18.0.1
-constexpr uint32_t kTargetNetwork = 0x7f000500;   // 127.0.5.0
-
 // Deadlines that the platform sets for VMs.
 constexpr Duration kDrainBound = seconds(3);
 constexpr Duration kConfigBound = seconds(3);
@@ -24,55 +22,14 @@
 constexpr Duration kSettleTime = seconds(4);
 
 constexpr Duration kFlowInterval = milliseconds(4);
-constexpr Duration kFirstRetryDelay = milliseconds(200);
+// One way between clients and the platform.
+constexpr Duration kClientDelay = milliseconds(3);
 constexpr Duration kOpenTimeout = milliseconds(1400);
 constexpr Duration kRequestDeadline = seconds(3);
-// Least time for which a target drains before it ends; above kDrainBound.
-constexpr Duration kDrainToLeaveDelay = milliseconds(3500);
-// Time until missed heartbeats remove the store entry of a crashed target.
-constexpr Duration kCrashToUnlistDelay = milliseconds(2500);
-constexpr int kTargetsPerService = 5;
-constexpr uint16_t kFirstRoutePort = 400;
-constexpr int kFixedRoutes = 2;
 constexpr uint16_t kRequestBytes = 100;
 
 }  // namespace
 
-struct SoakEnvironment::Target {
-  discovery::TargetRecord record;
-  net::UdpSocket socket;
-  bool alive = true;   // It responds.
-  bool listed = true;  // It has an entry in the store.
-  TimePoint draining_since = TimePoint::max();
-  TimePoint leaves_at = TimePoint::max();
-  TimePoint unlisted_at = TimePoint::max();
-};
-
-struct SoakEnvironment::Flow {
-  forward::FlowKey key;
-  std::string service;
-  TimePoint opened;
-  TimePoint next_action_at;  // when to send again
-  Duration retry_delay = kFirstRetryDelay;
-  forward::TargetToken token = forward::TargetToken::kNone;
-  uint64_t target = 0;        // instance; 0 until established
-  bool established = false;   // The target has received the client's ACK.
-  bool syn_answered = false;  // The client has received the SYN-ACK.
-  bool awaiting_response = false;
-  uint32_t sequence = 1;
-  uint32_t acknowledged = 0;
-  uint32_t syn_retransmits = 0;
-  int requests_left = 1;
-  TimePoint request_sent_at;
-  bool expected = false;  // See SoakCounts.
-};
-
-struct SoakEnvironment::RouteState {
-  discovery::RouteRecord record;
-  TimePoint changed_at;
-  bool present = true;
-};
-
 SoakEnvironment::SoakEnvironment(SoakVms& vms,
                                  platform::StandInStore& store,
                                  uint64_t seed)
@@ -91,139 +48,6 @@
   violations_.push_back(what);
 }
 
-std::string SoakEnvironment::Open() {
-  std::string error = send_socket_.Open({IpAddress::FromV4(kClientAddress), 0});
-  if (error.empty()) {
-    error = client_socket_.Open({IpAddress::FromV4(kClientAddress),
-                                 vms_.all()[0].packet_endpoint.port});
-  }
-  if (!error.empty()) {
-    return error;
-  }
-  for (const char* service : {"short", "long"}) {
-    for (int i = 0; i < kTargetsPerService; ++i) {
-      AddTarget(service, {});
-    }
-  }
-  for (int i = 0; i < kFixedRoutes; ++i) {
-    RouteState route;
-    route.record.name = "route-" + std::to_string(i);
-    route.record.address = {IpAddress::FromV4(kServiceAddress),
-                            static_cast<uint16_t>(kFirstRoutePort + i)};
-    route.record.shares = {{i == 0 ? "short" : "long", 1}};
-    routes_.push_back(route);
-  }
-  ChangeConfig(SteadyNow());
-  return "";
-}
-
-SoakEnvironment::Target& SoakEnvironment::AddTarget(const std::string& service,
-                                                    const Endpoint& address) {
-  auto target = std::make_unique<Target>();
-  discovery::TargetRecord& record = target->record;
-  record.instance = next_instance_++;
-  char id[32];
-  std::snprintf(id, sizeof(id), "i-%08llx",
-                static_cast<unsigned long long>(record.instance));
-  record.id = id;
-  record.service = service;
-  record.slots = 2;
-  record.failure_domain = Random(2) == 0 ? "a" : "b";
-  record.start_time_ms = static_cast<int64_t>(record.instance);
-  if (address.port != 0) {
-    target->socket.Open(address);
-  } else {
-    target->socket.Open(
-        {IpAddress::FromV4(kTargetNetwork + next_target_address_++), 0});
-  }
-  record.address = target->socket.LocalEndpoint();
-  store_.PutTarget(record);
-  targets_.push_back(std::move(target));
-  return *targets_.back();
-}
-
-SoakEnvironment::Target* SoakEnvironment::FindTarget(uint64_t instance) {
-  for (const auto& it : targets_) {
-    if (it->record.instance == instance) {
-      return it.get();
-    }
-  }
-  return nullptr;
-}
-
-void SoakEnvironment::ReplaceTarget(TimePoint now) {
-  Target& old = *targets_[Random(static_cast<uint32_t>(targets_.size()))];
-  if (!old.alive || old.record.draining) {
-    return;
-  }
-  AddTarget(old.record.service, {});
-  Target& leaving = *FindTarget(old.record.instance);
-  leaving.record.draining = true;
-  leaving.draining_since = now;
-  leaving.leaves_at = now + kDrainToLeaveDelay + milliseconds(Random(2000));
-  store_.PutTarget(leaving.record);
-}
-
-void SoakEnvironment::CrashTarget(TimePoint now) {
-  Target& target = *targets_[Random(static_cast<uint32_t>(targets_.size()))];
-  if (!target.alive || target.record.draining) {
-    return;
-  }
-  target.alive = false;
-  target.unlisted_at = now + kCrashToUnlistDelay;
-  AddTarget(target.record.service, {});
-}
-
-void SoakEnvironment::ReuseAddress(TimePoint now) {
-  for (const auto& it : targets_) {
-    if (!it->alive && !it->listed && it->socket.fd() >= 0 &&
-        now - it->unlisted_at >= seconds(2)) {
-      const Endpoint address = it->record.address;
-      const std::string other =
-          it->record.service == "short" ? "long" : "short";
-      it->socket.Close();
-      AddTarget(other, address);
-      return;
-    }
-  }
-}
-
-void SoakEnvironment::WriteInvalidEntry() {
-  static const char* const kValues[] = {
-      "not json", "{}", R"({"service":7,"address":true})",
-      R"({"service":"short","address":"127.0.5.1:1","slots":"x"})"};
-  store_.PutRaw("i-0000dead", kValues[Random(4)]);
-}
-
-void SoakEnvironment::ChangeConfig(TimePoint now) {
-  if (config_version_ > 0) {
-    RouteState* extra = nullptr;
-    if (routes_.size() > kFixedRoutes && Random(2) == 0) {
-      extra =
-          &routes_[kFixedRoutes + Random(static_cast<uint32_t>(routes_.size()) -
-                                         kFixedRoutes)];
-      extra->present = !extra->present;
-    } else {
-      RouteState route = routes_[Random(kFixedRoutes)];
-      route.record.address.port =
-          static_cast<uint16_t>(kFirstRoutePort + routes_.size());
-      route.record.name = "extra-" + std::to_string(routes_.size());
-      routes_.push_back(route);
-      extra = &routes_.back();
-    }
-    extra->changed_at = now;
-  }
-  discovery::ConfigRecord config;
-  config.version = config_version_ += 1 + Random(5);
-  config.flow_idle_timeout = seconds(15);
-  for (const RouteState& it : routes_) {
-    if (it.present) {
-      config.routes.push_back(it.record);
-    }
-  }
-  store_.PutConfig(config);
-}
-
 SoakVm* SoakEnvironment::ChooseVm(const forward::FlowKey& key) {
   // Rendezvous hashing: when a VM ends, only its flows move to other VMs.
   SoakVm* best = nullptr;
@@ -256,6 +80,10 @@
   return nullptr;
 }
 
+bool SoakEnvironment::HasUnplannedFault(const SoakVm& vm, TimePoint now) const {
+  return vm.suspended || now - vm.last_unplanned_end < kSettleTime;
+}
+
 bool SoakEnvironment::IsSettled(const SoakVm& vm, TimePoint now) const {
   return vm.pid > 0 && !vm.suspended && now - vm.last_fault_end >= kSettleTime;
 }
@@ -274,9 +102,12 @@
   header.ack = !syn;
   header.fin = fin;
   const std::vector<uint8_t> packet = platform::EncodePacket(header);
-  net::SendBatch batch;
-  batch.Add(ChooseVm(flow.key)->packet_endpoint, {}, packet);
-  send_socket_.Send(batch);
+  // The router chooses the VM when the packet arrives there.
+  events_.emplace(SteadyNow() + kClientDelay, [this, packet, key = flow.key] {
+    net::SendBatch batch;
+    batch.Add(ChooseVm(key)->packet_endpoint, {}, packet);
+    send_socket_.Send(batch);
+  });
 }
 
 void SoakEnvironment::OpenFlow(TimePoint now) {
@@ -290,6 +121,7 @@
   }
   flow->service = route.record.shares[0].service;
   flow->opened = now;
+  flow->number = counts_.flows;
   flow->requests_left = !recovery_phase_ && Random(4) == 0 ? 5 : 1;
   flow->next_action_at = now + kFirstRetryDelay;
   ++counts_.flows;
@@ -317,8 +149,20 @@
   flow.retry_delay *= 2;
 }
 
+SoakEnvironment::Flow* SoakEnvironment::FindFlow(const forward::FlowKey& key,
+                                                 uint64_t number) {
+  const auto it = flows_.find(key);
+  return it == flows_.end() || it->second->number != number ? nullptr
+                                                            : it->second.get();
+}
+
 void SoakEnvironment::Step(TimePoint now) {
   Receive(now);
+  while (!events_.empty() && events_.begin()->first <= now) {
+    const auto event = std::move(events_.begin()->second);
+    events_.erase(events_.begin());
+    event();
+  }
   for (const auto& it : targets_) {
     if (it->alive && now >= it->leaves_at) {
       it->alive = false;
@@ -401,31 +245,54 @@
     OnSyn(target, flow, FindVm(from), now);
     return;
   }
-  if (flow.target != 0 && flow.target != target.record.instance) {
+  if (header.token != discovery::TokenOf(target.record.instance)) {
+    AddViolation("a packet for another target reached " + target.record.id);
+    return;
+  }
+  if (flow.target != target.record.instance) {
+    // The target does not hold the flow and resets it.
     const Target* own = FindTarget(flow.target);
-    if (own != nullptr && own->alive) {
-      AddViolation("a packet of an established flow reached " +
-                   target.record.id + " instead of " + own->record.id);
+    if (own != nullptr && own->alive && flow.has_second_target) {
+      AddViolation("a packet of a flow that is open at " + own->record.id +
+                   " reached " + target.record.id + ", from client port " +
+                   std::to_string(flow.key.client_port));
     }
+    ++counts_.refused;
+    flows_.erase(it);
     return;
   }
-  flow.target = target.record.instance;
   flow.established = true;
-  if (!flow.awaiting_response || header.data_bytes == 0) {
-    return;
+  if (flow.awaiting_response && header.data_bytes > 0 &&
+      header.sequence == flow.sequence) {
+    events_.emplace(now + kClientDelay,
+                    [this, key = flow.key, number = flow.number,
+                     sequence = flow.sequence, instance = flow.target] {
+                      OnResponse(key, number, sequence, instance);
+                    });
   }
-  // The response bypasses the VMs. The client acknowledges it through them.
-  flow.awaiting_response = false;
-  ++flow.acknowledged;
-  ++flow.sequence;
-  const bool ends = --flow.requests_left == 0;
-  SendPacket(flow, false, ends, 0);
+}
+
+// The response bypasses the VMs. The client acknowledges it through them.
+void SoakEnvironment::OnResponse(const forward::FlowKey& key,
+                                 uint64_t number,
+                                 uint32_t sequence,
+                                 uint64_t instance) {
+  Flow* flow = FindFlow(key, number);
+  if (flow == nullptr || flow->sequence != sequence) {
+    return;  // a response to a retransmitted request
+  }
+  flow->token = discovery::TokenOf(instance);
+  flow->awaiting_response = false;
+  ++flow->acknowledged;
+  ++flow->sequence;
+  const bool ends = --flow->requests_left == 0;
+  SendPacket(*flow, false, ends, 0);
   if (ends) {
     ++counts_.served;
-    counts_.expected_served += flow.expected ? 1 : 0;
-    flows_.erase(it);
+    counts_.expected_served += flow->expected ? 1 : 0;
+    flows_.erase(key);
   } else {
-    flow.next_action_at = now + milliseconds(100 + Random(1500));
+    flow->next_action_at = SteadyNow() + milliseconds(100 + Random(1500));
   }
 }
 
@@ -450,19 +317,48 @@
                    " was forwarded by " + vm->name);
     }
   }
-  if (flow.syn_answered) {
+  if (flow.target != 0 && flow.target != target.record.instance &&
+      vm != nullptr && !HasUnplannedFault(*vm, now)) {
+    flow.has_second_target = true;
+  }
+  if (flow.target == target.record.instance && flow.established) {
     return;
   }
-  flow.syn_answered = true;
-  flow.awaiting_response = true;
-  flow.request_sent_at = now;
-  // The target echoes the token that the VM puts into the forwarded SYN, which
-  // the VM derives from the instance.
-  flow.token =
-      forward::TargetToken{static_cast<uint32_t>(target.record.instance)};
-  flow.acknowledged = 1000;
-  flow.next_action_at = now + kFirstRetryDelay;
-  SendPacket(flow, false, false, kRequestBytes);
+  // A target that waits for the end of the handshake repeats its answer.
+  for (const Duration delay :
+       {Duration{0}, kFirstRetryDelay, kFirstRetryDelay * 3}) {
+    events_.emplace(now + delay + kClientDelay,
+                    [this, key = flow.key, number = flow.number,
+                     instance = target.record.instance, delay] {
+                      OnSynAck(key, number, instance, delay > Duration{0});
+                    });
+  }
+}
+
+void SoakEnvironment::OnSynAck(const forward::FlowKey& key,
+                               uint64_t number,
+                               uint64_t instance,
+                               bool is_repeated) {
+  Flow* flow = FindFlow(key, number);
+  const Target* target = FindTarget(instance);
+  if (flow == nullptr || !target->alive ||
+      (is_repeated && flow->target == instance)) {
+    return;
+  }
+  // The client repeats the last token that it has received, also in packets to
+  // the target whose answer it accepted before.
+  flow->token = discovery::TokenOf(instance);
+  if (flow->syn_answered) {
+    return;
+  }
+  const TimePoint now = SteadyNow();
+  flow->target = instance;
+  flow->syn_answered = true;
+  flow->awaiting_response = true;
+  flow->request_sent_at = now;
+  flow->acknowledged = 1000;
+  flow->next_action_at = now + kFirstRetryDelay;
+  SendPacket(*flow, false, false, kRequestBytes);
 }
 
 void SoakEnvironment::OnClientPacket(std::span<const uint8_t> datagram,
--- a/lab/soak_environment.h
+++ b/lab/soak_environment.h
@@ -6,6 +6,7 @@
 #define MARJORAMHALL_LAB_SOAK_ENVIRONMENT_H_
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <random>
@@ -57,6 +58,11 @@
   void ReuseAddress(TimePoint now);
   // Adds, removes or restores a route.
   void ChangeConfig(TimePoint now);
+  // A target crashes and starts again under its id.
+  void RestartTarget();
+  // Executes the last report of a target again some seconds later, like a store
+  // that has lost the response to it. The target corrects it if it is alive.
+  void DelayReport(TimePoint now);
   // Writes a target entry that is malformed.
   void WriteInvalidEntry();
 
@@ -83,13 +89,25 @@
   void OnClientPacket(std::span<const uint8_t> datagram,
                       const Endpoint& from,
                       TimePoint now);
+  void OnResponse(const forward::FlowKey& key,
+                  uint64_t number,
+                  uint32_t sequence,
+                  uint64_t instance);
+  void OnSynAck(const forward::FlowKey& key,
+                uint64_t number,
+                uint64_t instance,
+                bool is_repeated);
   void OnSyn(Target& target, Flow& flow, const SoakVm* vm, TimePoint now);
   void OpenFlow(TimePoint now);
   void SendNext(Flow& flow, TimePoint now);
   void SendPacket(Flow& flow, bool syn, bool fin, uint16_t bytes);
   SoakVm* ChooseVm(const forward::FlowKey& key);
   SoakVm* FindVm(const Endpoint& source);
+  // Whether the VM meets its deadlines: no fault has affected it lately.
   bool IsSettled(const SoakVm& vm, TimePoint now) const;
+  // As above, but stops and restarts that are planned do not count.
+  bool HasUnplannedFault(const SoakVm& vm, TimePoint now) const;
+  Flow* FindFlow(const forward::FlowKey& key, uint64_t number);
   Target* FindTarget(uint64_t instance);
   Target& AddTarget(const std::string& service, const Endpoint& address);
   void AddViolation(const std::string& what);
@@ -108,6 +126,10 @@
                      forward::FlowKeyHash>
       flows_;
   std::vector<RouteState> routes_;
+  // Packets on their way between clients and the platform, and writes that the
+  // store executes late.
+  std::multimap<TimePoint, std::function<void()>> events_;
+  int64_t last_start_time_ms_ = 0;
   uint64_t config_version_ = 0;
   uint64_t next_instance_ = 0x1000;
   uint16_t next_port_ = 10'000;
--- /dev/null
+++ b/lab/soak_environment_impl.h
@@ -0,0 +1,62 @@
+// State of the clients, targets and routes of a soak test, for the files that
+// implement SoakEnvironment.
+#ifndef MARJORAMHALL_LAB_SOAK_ENVIRONMENT_IMPL_H_
+#define MARJORAMHALL_LAB_SOAK_ENVIRONMENT_IMPL_H_
+
+#include <chrono>
+#include <cstdint>
+#include <string>
+
+#include "lab/soak_environment.h"
+#include "src/base/time.h"
+
+namespace marjoramhall::lab {
+
+inline constexpr uint32_t kClientAddress = 0x7f000401;   // 127.0.4.1
+inline constexpr uint32_t kServiceAddress = 0xc6120001;  // 198.18.0.1
+inline constexpr Duration kFirstRetryDelay = std::chrono::milliseconds(200);
+inline constexpr uint16_t kFirstRoutePort = 400;
+inline constexpr int kFixedRoutes = 2;
+
+struct SoakEnvironment::Target {
+  discovery::TargetRecord record;
+  net::UdpSocket socket;
+  std::string report;  // Its last one, as written to the store.
+  bool alive = true;   // It responds.
+  bool listed = true;  // It has an entry in the store.
+  TimePoint draining_since = TimePoint::max();
+  TimePoint leaves_at = TimePoint::max();
+  TimePoint unlisted_at = TimePoint::max();
+};
+
+struct SoakEnvironment::Flow {
+  forward::FlowKey key;
+  std::string service;
+  TimePoint opened;
+  uint64_t number = 0;       // tells flows from the same port apart
+  TimePoint next_action_at;  // when to send again
+  Duration retry_delay = kFirstRetryDelay;
+  forward::TargetToken token = forward::TargetToken::kNone;  // last received
+  uint64_t target = 0;  // instance whose SYN-ACK the client has accepted
+  // Another target got the SYN from a VM that had no unplanned fault.
+  bool has_second_target = false;
+  bool established = false;   // The target has received the client's ACK.
+  bool syn_answered = false;  // The client has received the SYN-ACK.
+  bool awaiting_response = false;
+  uint32_t sequence = 1;
+  uint32_t acknowledged = 0;
+  uint32_t syn_retransmits = 0;
+  int requests_left = 1;
+  TimePoint request_sent_at;
+  bool expected = false;  // See SoakCounts.
+};
+
+struct SoakEnvironment::RouteState {
+  discovery::RouteRecord record;
+  TimePoint changed_at;
+  bool present = true;
+};
+
+}  // namespace marjoramhall::lab
+
+#endif  // MARJORAMHALL_LAB_SOAK_ENVIRONMENT_IMPL_H_
--- a/lab/soak_vms.cc
+++ b/lab/soak_vms.cc
@@ -9,6 +9,7 @@
 #include <csignal>
 #include <cstring>
 #include <fstream>
+#include <utility>
 
 #include "platform/readiness_path.h"
 #include "src/net/flow_path_socket.h"
@@ -114,6 +115,9 @@
   vm.suspended = false;
   vm.terminating = false;
   vm.last_fault_end = SteadyNow();
+  if (std::exchange(vm.was_killed, false)) {
+    vm.last_unplanned_end = vm.last_fault_end;
+  }
   return "";
 }
 
@@ -134,6 +138,10 @@
     vm.pid = 0;
   }
   vm.last_fault_end = SteadyNow();
+  if (signal != SIGTERM && signal != SIGHUP) {
+    vm.last_unplanned_end = vm.last_fault_end;
+    vm.was_killed = signal == SIGKILL;
+  }
 }
 
 std::string SoakVms::ReapExited(TimePoint now) {
--- a/lab/soak_vms.h
+++ b/lab/soak_vms.h
@@ -29,8 +29,11 @@
   // End of the last fault that affected this VM; in the future during a fault
   // of known length.
   TimePoint last_fault_end;
-  bool ready = false;    // as seen by the router
-  int failed_polls = 0;  // consecutive
+  // The same without SIGTERM, SIGHUP and what follows them.
+  TimePoint last_unplanned_end;
+  bool was_killed = false;  // by SIGKILL, and has not been started again
+  bool ready = false;       // as seen by the router
+  int failed_polls = 0;     // consecutive
 };
 
 class SoakVms {
