Order the reports of a target by one rule on every path

The store had executed a report late that the target made before it crashed and started again.

Cause: two functions decided which of two reports is the later one, and the one for changes knew only reports of the same start. Otherwise the store's revision decided, which says when the store wrote a report, not when the target made it.

A start is a time of day: a report of an earlier start is used once it has stayed in the store for 6 s, since a late write is corrected by its target or lapses by then.

Also fixed by it: a late report brought a crashed target back into use.

The code for restored stores moves to a file of its own, unchanged but for the order.

--- a/src/discovery/target_registry.cc
+++ b/src/discovery/target_registry.cc
@@ -14,24 +14,6 @@
   return forward::TargetToken{folded == 0 ? 1 : static_cast<uint32_t>(folded)};
 }
 
-bool IsLaterReport(const TargetRecord& a, const TargetRecord& b) {
-  if (a.start_time_ms != b.start_time_ms) {
-    return a.start_time_ms > b.start_time_ms;
-  }
-  // A target does not take back that it drains.
-  if (a.sequence == 0 || b.sequence == 0) {
-    return a.draining || !b.draining;
-  }
-  return a.sequence != b.sequence ? a.sequence > b.sequence
-                                  : a.draining && !b.draining;
-}
-
-bool TakesBackDrain(const TargetRecord& a, const TargetRecord& b) {
-  return b.draining && !a.draining && a.start_time_ms != 0 &&
-         a.start_time_ms == b.start_time_ms && a.sequence != 0 &&
-         a.sequence < b.sequence;
-}
-
 TargetRegistry::TargetRegistry(RegistryOptions options,
                                DecisionHook log_decision)
     : options_(std::move(options)), log_decision_(std::move(log_decision)) {}
@@ -112,7 +94,9 @@
       counts->missing += entry.state != TargetState::kRetired ? 1 : 0;
       AwaitNewEntry(entry, now);
       changed = true;
-    } else if (!entry.retire_at) {
+    } else if (entry.retire_at) {
+      entry.earlier_start.reset();
+    } else {
       StoreChange removal;
       removal.key = key;
       removal.position =
@@ -126,67 +110,6 @@
   return changed;
 }
 
-bool TargetRegistry::ApplyRestored(const StoreChange& change,
-                                   TimePoint now,
-                                   RestoreCounts* counts) {
-  if (change.config) {
-    counts->config_version = change.config->version;
-  }
-  const auto it = targets_.find(change.key);
-  if (!change.target || it == targets_.end()) {
-    counts->added += change.target ? 1 : 0;
-    return Apply(change, now);
-  }
-  Entry& entry = it->second;
-  if (IsLaterReport(*change.target, entry.record)) {
-    ++counts->replaced;
-    return Apply(change, now);
-  }
-  ++counts->kept;
-  entry.position = change.position;
-  entry.retire_at.reset();
-  if (entry.state == TargetState::kLapsed || entry.stayed_away) {
-    // The copy may be all that is left of a target that ended since, so that an
-    // entry in it does not show that the target lives. No change tells that a
-    // target has renewed its entry.
-    entry.reactivate_at = now + options_.restored_entry_lifetime;
-  }
-  return false;
-}
-
-void TargetRegistry::AwaitNewEntry(Entry& entry, TimePoint now) {
-  entry.reactivate_at.reset();
-  if (entry.state == TargetState::kRetired) {
-    return;
-  }
-  if (entry.state == TargetState::kActive) {
-    SetState(entry, TargetState::kLapsed, "store-restored", now);
-  }
-  entry.retire_at = now + options_.restore_grace_period;
-}
-
-void TargetRegistry::LogRestore(StorePosition before,
-                                const RestoreCounts& counts) const {
-  const std::string detail =
-      "epoch " + std::to_string(position_.epoch) + " after " +
-      std::to_string(before.epoch) + ", revision " +
-      std::to_string(position_.revision) + " after " +
-      std::to_string(before.revision) +
-      "; targets: " + std::to_string(counts.kept) + " kept, " +
-      std::to_string(counts.replaced) + " replaced, " +
-      std::to_string(counts.added) + " new, " + std::to_string(counts.missing) +
-      " missing; configuration " + std::to_string(config_.version) +
-      " in force, " + std::to_string(counts.config_version) + " in the store";
-  Decision decision;
-  decision.kind = DecisionKind::kMembership;
-  decision.revision = position_.revision;
-  decision.store_epoch = position_.epoch;
-  decision.outcome = "store-restored";
-  decision.reason = "later-epoch";
-  decision.detail = detail;
-  log_decision_(decision);
-}
-
 Listing TargetRegistry::Snapshot() const {
   Listing listing;
   listing.position = position_;
@@ -197,29 +120,65 @@
   for (const auto& [key, entry] : targets_) {
     const bool is_in_use = entry.state == TargetState::kActive ||
                            entry.state == TargetState::kDraining;
-    if (entry.retire_at || !(is_in_use || entry.reactivate_at)) {
-      continue;
+    if (!entry.retire_at && (is_in_use || entry.reactivate_at)) {
+      StoreChange item;
+      item.key = key;
+      item.position = entry.earlier_start ? entry.earlier_start->record_position
+                                          : entry.position;
+      item.is_target = true;
+      item.target = entry.record;
+      listing.items.push_back(std::move(item));
+    }
+    if (entry.earlier_start) {
+      // No change tells another VM that the target renews this entry.
+      listing.items.push_back(entry.earlier_start->change);
     }
-    StoreChange item;
-    item.key = key;
-    item.position = entry.position;
-    item.is_target = true;
-    item.target = entry.record;
-    listing.items.push_back(std::move(item));
   }
   return listing;
 }
 
+bool TargetRegistry::ApplyEarlierReport(Entry& entry,
+                                        const StoreChange& change,
+                                        ReportOrder order,
+                                        TimePoint now) {
+  const StorePosition before = entry.position;
+  entry.position = change.position;
+  if (order == ReportOrder::kEarlier) {
+    LogIgnored(change, "report from before a later one");
+    entry.earlier_start.reset();
+    return false;
+  }
+  LogIgnored(change, "report from an earlier start");
+  if (entry.earlier_start &&
+      entry.earlier_start->change.target->start_time_ms ==
+          change.target->start_time_ms) {
+    entry.earlier_start->change = change;
+  } else {
+    // The start time is a time of day, which may have been set back. Then the
+    // target goes on renewing this entry.
+    entry.earlier_start = {
+        change,
+        entry.earlier_start ? entry.earlier_start->record_position : before,
+        now + options_.doubtful_entry_lifetime};
+  }
+  if (!change.target->draining || entry.state != TargetState::kActive) {
+    return false;
+  }
+  // If it is not a late report, the target gets no new flows in time.
+  SetState(entry, TargetState::kDraining, "earlier start drains", now);
+  return true;
+}
+
 bool TargetRegistry::ApplyTarget(const StoreChange& change, TimePoint now) {
   const auto it = targets_.find(change.key);
   if (it != targets_.end() && change.position <= it->second.position) {
     return false;
   }
-  if (it != targets_.end() && change.target &&
-      TakesBackDrain(*change.target, it->second.record)) {
-    it->second.position = change.position;
-    LogIgnored(change, "report from before the drain");
-    return false;
+  if (it != targets_.end() && change.target) {
+    const ReportOrder order = OrderOf(*change.target, it->second.record);
+    if (order == ReportOrder::kEarlier || order == ReportOrder::kEarlierStart) {
+      return ApplyEarlierReport(it->second, change, order, now);
+    }
   }
   if (!change.target) {
     if (it == targets_.end()) {
@@ -228,6 +187,7 @@
     Entry& entry = it->second;
     entry.position = change.position;
     entry.reactivate_at.reset();
+    entry.earlier_start.reset();
     const TargetState before = entry.state;
     if (!change.removed) {
       Retire(entry, false, "unreadable", now);
@@ -241,24 +201,36 @@
     }
     return entry.state != before;
   }
+  const bool is_new = it == targets_.end();
   Entry& entry = targets_[change.key];
-  const TargetRecord& next = *change.target;
-  if (it != targets_.end()) {
-    RemoveFromIndexes(entry);
+  if (is_new) {
+    entry.record = *change.target;
+    AddToIndexes(entry);
   }
-  entry.record = next;
-  AddToIndexes(entry);
   entry.position = change.position;
+  UseReport(entry, *change.target, is_new ? "joined" : "entry-changed", now);
+  return true;
+}
+
+void TargetRegistry::UseReport(Entry& entry,
+                               TargetRecord report,
+                               std::string_view reason,
+                               TimePoint now) {
+  RemoveFromIndexes(entry);
+  entry.record = std::move(report);
+  AddToIndexes(entry);
   entry.retire_at.reset();
   entry.reactivate_at.reset();
+  entry.earlier_start.reset();
   entry.stayed_away = false;
-  entry.warm_up_until = now + next.warm_up_left;
-  SetState(entry, next.draining ? TargetState::kDraining : TargetState::kActive,
-           it == targets_.end() ? "joined" : "entry-changed", now);
-  GetOrAssignServiceId(next.service);
+  entry.warm_up_until = now + entry.record.warm_up_left;
+  SetState(
+      entry,
+      entry.record.draining ? TargetState::kDraining : TargetState::kActive,
+      reason, now);
+  GetOrAssignServiceId(entry.record.service);
   RetireFormerUsers(entry, now);
   LogSharedToken(entry);
-  return true;
 }
 
 void TargetRegistry::AddToIndexes(Entry& entry) {
@@ -373,6 +345,11 @@
       entry.stayed_away = !entry.record.draining;
       changed = true;
     }
+    if (entry.earlier_start && now >= entry.earlier_start->use_at) {
+      UseReport(entry, *entry.earlier_start->change.target, "entry-renewed",
+                now);
+      changed = true;
+    }
     if (entry.reactivate_at && now >= *entry.reactivate_at) {
       entry.reactivate_at.reset();
       entry.stayed_away = false;
@@ -380,6 +357,7 @@
       changed = true;
     }
     if (entry.state == TargetState::kRetired && !entry.reactivate_at &&
+        !entry.earlier_start &&
         now - entry.state_changed_at >= options_.retired_token_lifetime) {
       RemoveFromIndexes(entry);
       it = targets_.erase(it);
--- a/src/discovery/target_registry.h
+++ b/src/discovery/target_registry.h
@@ -16,6 +16,7 @@
 #include "src/base/store_position.h"
 #include "src/base/time.h"
 #include "src/discovery/records.h"
+#include "src/discovery/report_order.h"
 #include "src/discovery/snapshot_codec.h"
 #include "src/forward/view.h"
 
@@ -31,11 +32,13 @@
   // again within two seconds of the store's return; the rest allows for the
   // time until this VM learns of it.
   Duration restore_grace_period = std::chrono::seconds(4);
-  // When to believe an entry of the restored store's copy that had lapsed
-  // before the return. An entry lapses after three heartbeats of its target,
-  // two to three seconds; the rest allows for the time until this VM learns of
-  // it. An entry that is still there has been renewed.
-  Duration restored_entry_lifetime = std::chrono::seconds(6);
+  // When to believe an entry that its target may not have written itself: one
+  // of the restored store's copy that had lapsed before the return, or one from
+  // an earlier start. An entry lapses after three heartbeats of its target, two
+  // to three seconds, and the target corrects it within one; the rest allows
+  // for the time until this VM learns of it. An entry that is still there has
+  // been renewed.
+  Duration doubtful_entry_lifetime = std::chrono::seconds(6);
   // How long the token of a retired target stays known: the longest lifetime of
   // a flow.
   Duration retired_token_lifetime = std::chrono::seconds(60);
@@ -61,7 +64,7 @@
   // store has lost it: a target keeps its later report, and one that the copy
   // lacks is kept until restore_grace_period has passed. A target whose entry
   // had lapsed, and that the copy has again, is used again after
-  // restored_entry_lifetime.
+  // doubtful_entry_lifetime.
   bool ApplyListing(const Listing& listing, TimePoint now);
 
   // The configuration and all active and draining targets that the store has,
@@ -81,8 +84,16 @@
   size_t target_count() const { return targets_.size(); }
 
  private:
+  // A report that seems to be from an earlier start of a target than the one
+  // that is known. It is used if the store still has it at `use_at`.
+  struct EarlierStart {
+    StoreChange change;             // has a target
+    StorePosition record_position;  // of the report that is known
+    TimePoint use_at;
+  };
+
   struct Entry {
-    TargetRecord record;
+    TargetRecord record;  // the latest report of the target
     forward::TargetState state = forward::TargetState::kActive;
     StorePosition position;  // of the last change
     bool gone = false;       // while retired: it has left or ended
@@ -96,6 +107,8 @@
     // While only the copy of a restored store has the target's entry, which had
     // lapsed: when to use the target again. Never set together with retire_at.
     std::optional<TimePoint> reactivate_at;
+    // While the store's entry has a report from an earlier start than `record`.
+    std::optional<EarlierStart> earlier_start;
   };
 
   // What a listing of a restored store changed, for the log.
@@ -109,6 +122,17 @@
 
   bool Apply(const StoreChange& change, TimePoint now);
   bool ApplyTarget(const StoreChange& change, TimePoint now);
+  // Applies a report that is earlier than the known one, which is kept. Returns
+  // whether the view changed.
+  bool ApplyEarlierReport(Entry& entry,
+                          const StoreChange& change,
+                          ReportOrder order,
+                          TimePoint now);
+  // Makes a report the known one of its target.
+  void UseReport(Entry& entry,
+                 TargetRecord report,
+                 std::string_view reason,
+                 TimePoint now);
   bool ApplyConfig(const StoreChange& change);
   // Applies an entry of the first listing of an epoch.
   bool ApplyRestored(const StoreChange& change,
@@ -161,15 +185,6 @@
   StorePosition position_;  // never decreases
 };
 
-// Whether a target made report `a` about itself after report `b`. Does not
-// depend on the store, which may have lost the later one of the two.
-bool IsLaterReport(const TargetRecord& a, const TargetRecord& b);
-
-// Whether report `a` is from before the drain that report `b` tells of. The
-// store executes a write whose response is lost up to some seconds later, when
-// it may overwrite a later one.
-bool TakesBackDrain(const TargetRecord& a, const TargetRecord& b);
-
 // The token of a target. It is the same on all VMs and never kNone. Instance
 // numbers are longer than tokens, so that in rare cases two targets share one.
 forward::TargetToken TokenOf(uint64_t instance);
--- a/tests/discovery/restored_store_test.cc
+++ b/tests/discovery/restored_store_test.cc
@@ -235,7 +235,7 @@
                          MakeTarget({e, 6}, 3, false, 8)};
     };
     List({epoch, 10}, copy(epoch));
-    Pass(options_.restored_entry_lifetime);
+    Pass(options_.doubtful_entry_lifetime);
     ASSERT_EQ(StateOf(7), TargetState::kActive);
     List({epoch, 12}, {});
     Pass(is_retired ? options_.lapse_grace_period : seconds(1));
@@ -251,7 +251,7 @@
     removal.removed = true;
     removal.is_target = true;
     Change(removal);
-    Pass(options_.restored_entry_lifetime);
+    Pass(options_.doubtful_entry_lifetime);
     EXPECT_EQ(StateOf(7), TargetState::kActive);
     EXPECT_EQ(StateOf(8), TargetState::kRetired);
   }
