Let only complete entries name a target

A missing start counted as the earliest, which gets the token, so that an entry whose key ends with a target's id hid the target's own one.

Why it works: all fields that a target writes are required, each of its type. `born` may be missing, as in the platform's examples, and such an entry comes last for a token. An ignored entry is logged once for each reason and counts towards the limit on lines: 50 writes of one entry in a row had logged 50 lines.

--- a/src/app/forward_process.cc
+++ b/src/app/forward_process.cc
@@ -185,8 +185,9 @@
 DecisionHook ForwardProcess::Impl::MakeTargetHook() {
   return [this](const Decision& it) {
     const bool joined = it.outcome == NameOf(forward::TargetState::kActive);
-    if (it.kind != DecisionKind::kTargetHealth ||
-        target_log_limiter_.Allow(!joined, SteadyNow())) {
+    const bool is_limited = it.kind == DecisionKind::kTargetHealth ||
+                            it.outcome == discovery::kEntryIgnored;
+    if (!is_limited || target_log_limiter_.Allow(!joined, SteadyNow())) {
       log_hook_(it);
     }
   };
--- a/src/discovery/records.h
+++ b/src/discovery/records.h
@@ -21,9 +21,9 @@
   // Unix time at which the target started, or 0 when the entry lacks it. A
   // target that restarts under the same id has a later start time.
   int64_t start_time_ms = 0;
-  // Counts the reports of the target about itself since its start, or 0 when
-  // the entry lacks it. It orders two entries of a target even if the store has
-  // been restored from a copy in between.
+  // Counts the reports of the target about itself since its start. It orders
+  // two entries of a target even if the store has been restored from a copy in
+  // between.
   uint64_t sequence = 0;
   std::string service;
   Endpoint address;
--- a/src/discovery/target_registry.cc
+++ b/src/discovery/target_registry.cc
@@ -6,6 +6,12 @@
 #include <utility>
 
 namespace marjoramhall::discovery {
+namespace {
+
+// Ignored entries that are remembered, so that each is logged once.
+constexpr size_t kMaxIgnoredEntries = 1000;
+
+}  // namespace
 
 using forward::TargetState;
 
@@ -32,6 +38,8 @@
 bool TargetRegistry::Apply(const StoreChange& change, TimePoint now) {
   if (!change.error.empty()) {
     LogIgnored(change, change.error);
+  } else if (change.removed) {
+    ignored_.erase(change.key);
   }
   if (change.is_target) {
     return ApplyTarget(change, now);
@@ -40,12 +48,18 @@
 }
 
 void TargetRegistry::LogIgnored(const StoreChange& change,
-                                std::string_view reason) const {
+                                std::string_view reason) {
+  if (ignored_.size() >= kMaxIgnoredEntries) {
+    ignored_.clear();
+  }
+  if (std::exchange(ignored_[change.key], reason) == reason) {
+    return;  // its writer repeats it
+  }
   Decision decision;
   decision.kind = DecisionKind::kConfiguration;
   decision.revision = change.position.revision;
   decision.store_epoch = change.position.epoch;
-  decision.outcome = "entry-ignored";
+  decision.outcome = kEntryIgnored;
   decision.reason = reason;
   decision.detail = change.key;
   log_decision_(decision);
@@ -208,6 +222,7 @@
     AddToIndexes(entry);
   }
   entry.position = change.position;
+  ignored_.erase(change.key);
   UseReport(entry, *change.target, is_new ? "joined" : "entry-changed", now);
   return true;
 }
@@ -428,13 +443,15 @@
   for (const auto& [key, entry] : targets_) {
     entries.push_back(&entry);
   }
-  std::stable_sort(entries.begin(), entries.end(),
-                   [](const Entry* a, const Entry* b) {
-                     const bool a_retired = a->state == TargetState::kRetired;
-                     const bool b_retired = b->state == TargetState::kRetired;
-                     return std::tie(a_retired, a->record.start_time_ms) <
-                            std::tie(b_retired, b->record.start_time_ms);
-                   });
+  std::stable_sort(
+      entries.begin(), entries.end(), [](const Entry* a, const Entry* b) {
+        const bool a_retired = a->state == TargetState::kRetired;
+        const bool b_retired = b->state == TargetState::kRetired;
+        const bool a_unknown = a->record.start_time_ms == 0;
+        const bool b_unknown = b->record.start_time_ms == 0;
+        return std::tie(a_retired, a_unknown, a->record.start_time_ms) <
+               std::tie(b_retired, b_unknown, b->record.start_time_ms);
+      });
   return entries;
 }
 
--- a/src/discovery/target_registry.h
+++ b/src/discovery/target_registry.h
@@ -22,6 +22,10 @@
 
 namespace marjoramhall::discovery {
 
+// Outcome in the log of an entry that is left out. Any program that may write
+// to the store can cause such lines.
+inline constexpr std::string_view kEntryIgnored = "entry-ignored";
+
 struct RegistryOptions {
   std::string failure_domain;  // of this VM
   // A target whose entry disappeared without a drain still gets new flows for
@@ -145,8 +149,8 @@
   bool RemoveMissing(const Listing& listing,
                      TimePoint now,
                      RestoreCounts* counts);
-  // Logs an entry that is left out.
-  void LogIgnored(const StoreChange& change, std::string_view reason) const;
+  // Logs an entry that is left out, once for each reason.
+  void LogIgnored(const StoreChange& change, std::string_view reason);
   void LogRestore(StorePosition before, const RestoreCounts& counts) const;
   void SetState(Entry& entry,
                 forward::TargetState state,
@@ -163,7 +167,8 @@
   // Logs if another target that is not retired has the same token.
   void LogSharedToken(const Entry& entry) const;
   // The first of several targets with the same token gets it. Targets that are
-  // not retired come first, then those with an earlier start time. The order is
+  // not retired come first, then those with an earlier start time, and last
+  // those without one, which are another writer's. The order is
   // the same on all VMs, and a new target never takes over the flows of
   // another.
   std::vector<const Entry*> InOrderOfPrecedence() const;
@@ -179,6 +184,7 @@
   // quadratic in its length.
   std::map<Endpoint, std::vector<Entry*>> by_address_;
   std::map<forward::TargetToken, std::vector<Entry*>> by_token_;
+  std::map<std::string, std::string> ignored_;  // reasons by store key
   std::unordered_map<std::string, ServiceId> services_;
   ConfigRecord config_;  // its version never decreases
   StorePosition config_position_;
