Count no flow for long, and learn no time, that moved to another VM

Related to: a VM drew more from not seeing a flow's packets.

Cause: a flow whose SYN this VM forwarded and whose next packet came through another VM counted as an outstanding request of its target, and against the limit of admission control, for 1.4 s. It is now released like an overdue request, after 8 usual response times. And a flow that came back after a response and further requests had passed another VM gave a response time that included them; a request that came with the acknowledgment of a response was not counted.

Both new tests of moved_flow_test.cc fail without the change.

Left as it is: an overdue request of a target that has answered others still counts as a slow response. A request that moved away looks the same, and no packet tells them apart.

--- a/src/forward/flow_tracker.h
+++ b/src/forward/flow_tracker.h
@@ -50,6 +50,9 @@
   Duration handshake{0};
   Duration overdue_after = kTrackedFlowTimeout;  // of the request in progress
   uint32_t request_sequence = 0;  // of the request's first packet
+  // Sequence number after the last byte that this VM has seen. Valid from the
+  // first request on.
+  uint32_t next_sequence = 0;
   // Acknowledgment number of the request's first packet. The number changes
   // when the client has received the start of the response.
   uint32_t request_acknowledged = 0;
--- a/src/forward/forwarder.cc
+++ b/src/forward/forwarder.cc
@@ -225,6 +225,12 @@
       flow.syn_packet[0] == 0) {
     return entry != nullptr;
   }
+  if (const auto route = view_->routes.find(flow.route_key);
+      route != view_->routes.end() &&
+      now - flow.added_at >=
+          admission_.OverdueAfter(entry->target.service, route->second)) {
+    ReleaseRequest(flow);  // like a request that is overdue
+  }
   const bool is_silent = IsTargetSilent(flow, *entry);
   if (is_silent) {
     RecordSilence(
@@ -324,7 +330,18 @@
               flow->phase == FlowPhase::kRequestOverdue) &&
              (header.acknowledged != flow->request_acknowledged ||
               header.fin)) {
-    OnResponse(*flow, now);
+    OnResponse(header, *flow, now);
+    const bool is_new_data =
+        header.data_bytes > 0 &&
+        static_cast<int32_t>(header.sequence - flow->next_sequence) >= 0;
+    if (is_new_data && !ends) {  // the acknowledgment came with a request
+      CountRequest(*flow, entry);
+      BeginRequest(header, entry, *flow, now);
+    }
+  }
+  if (static_cast<int32_t>(header.sequence + header.data_bytes -
+                           flow->next_sequence) > 0) {
+    flow->next_sequence = header.sequence + header.data_bytes;
   }
   if (ends) {
     ReleaseRequest(*flow);
@@ -340,6 +357,7 @@
   flow.request_started_at = now;
   flow.request_sequence = header.sequence;
   flow.request_acknowledged = header.acknowledged;
+  flow.next_sequence = header.sequence + header.data_bytes;
   const auto route = view_->routes.find(flow.route_key);
   flow.overdue_after =
       route == view_->routes.end()
@@ -347,7 +365,20 @@
           : admission_.OverdueAfter(entry.target.service, route->second);
 }
 
-void Forwarder::OnResponse(TrackedFlow& flow, TimePoint now) {
+bool Forwarder::HasMissedPackets(const PacketHeader& header,
+                                 const TrackedFlow& flow) {
+  return static_cast<int32_t>(header.sequence - flow.next_sequence) > 0 ||
+         (flow.phase == FlowPhase::kRequestOverdue && header.data_bytes > 0);
+}
+
+void Forwarder::OnResponse(const PacketHeader& header,
+                           TrackedFlow& flow,
+                           TimePoint now) {
+  if (HasMissedPackets(header, flow)) {
+    ReleaseRequest(flow);
+    flow.phase = FlowPhase::kResponded;
+    return;
+  }
   ++counters_.responses;
   hooks_.on_response(now - flow.request_started_at);
   const double response_us =
--- a/src/forward/forwarder.h
+++ b/src/forward/forwarder.h
@@ -176,7 +176,11 @@
                     const TargetEntry& entry,
                     TrackedFlow& flow,
                     TimePoint now);
-  void OnResponse(TrackedFlow& flow, TimePoint now);
+  // Whether packets of the flow have passed another VM since its request began,
+  // so that the time of the response is unknown.
+  static bool HasMissedPackets(const PacketHeader& header,
+                               const TrackedFlow& flow);
+  void OnResponse(const PacketHeader& header, TrackedFlow& flow, TimePoint now);
   // Passes the time that a request took, or has taken so far, to admission
   // control.
   // Avoids a target that responded without doing the usual work.
--- a/tests/forward/moved_flow_test.cc
+++ b/tests/forward/moved_flow_test.cc
@@ -211,6 +211,53 @@
   EXPECT_EQ(forwarder_.tracked_flow_count(), 1U);
 }
 
+TEST_F(MovedFlowTest, DoesNotCountFlowThatMovedAsLoadForLong) {
+  // Usual requests take 10 ms, so that one is overdue after 80 ms.
+  for (int i = 0; i < 20; ++i) {
+    const uint16_t port = OpenAt(TargetToken{1});
+    forwarder_.OnPacket(MakePacket(port, TargetToken{1}, 100, 10), {}, now_);
+    Pass(milliseconds(10));
+    forwarder_.OnPacket(MakePacket(port, TargetToken{1}, 200), {}, now_);
+  }
+  OpenAt(TargetToken{1});
+  PassWithTraffic(milliseconds(70), TargetToken{1});
+  const TargetEntry* entry = forwarder_.targets().Find(TargetToken{1});
+  EXPECT_EQ(entry->outstanding_requests, 1U);
+  PassWithTraffic(milliseconds(50), TargetToken{1});
+  EXPECT_EQ(entry->outstanding_requests, 0U);
+  // The flow comes back with its next request.
+  forwarder_.OnPacket(MakePacket(port_, TargetToken{1}, 100, 10), {}, now_);
+  EXPECT_EQ(entry->outstanding_requests, 1U);
+}
+
+TEST_F(MovedFlowTest, LearnsNoResponseTimeOfFlowThatWasElsewhere) {
+  const uint16_t port = OpenAt(TargetToken{1});
+  const auto send = [&](uint32_t sequence, uint32_t acknowledged,
+                        uint16_t data_bytes) {
+    PacketHeader header =
+        MakePacket(port, TargetToken{1}, acknowledged, data_bytes);
+    header.sequence = sequence;
+    forwarder_.OnPacket(header, {}, now_);
+  };
+  send(10, 100, 10);
+  Pass(milliseconds(50));
+  send(20, 200, 0);
+  EXPECT_EQ(forwarder_.counters().responses, 1U);
+  send(20, 200, 10);
+  // The response and another request pass another VM.
+  Pass(seconds(2));
+  send(40, 300, 0);
+  EXPECT_EQ(forwarder_.counters().responses, 1U);
+  const TargetEntry* entry = forwarder_.targets().Find(TargetToken{1});
+  EXPECT_EQ(entry->outstanding_requests, 0U);
+  // A request that acknowledges a response which was observed is counted.
+  send(40, 300, 10);
+  Pass(milliseconds(50));
+  send(50, 400, 10);
+  EXPECT_EQ(forwarder_.counters().responses, 2U);
+  EXPECT_EQ(entry->outstanding_requests, 1U);
+}
+
 TEST(TargetSilenceTest, ForgetsUnansweredSynThatNothingConfirms) {
   TargetSilence silence;
   TimePoint at{seconds(1000)};
