Let the soak write more kinds of entries of other writers

The malformed entries of the soak had four values and one key. Now they are also nested 100,000 levels deep, 256 KB long, have a number too large, a port out of range or a part of the fields only, and some keys end with the id of a target.

--- a/lab/soak_changes.cc
+++ b/lab/soak_changes.cc
@@ -1,6 +1,8 @@
 // Changes to targets and routes during a soak test.
 #include <algorithm>
 #include <chrono>
+#include <iterator>
+#include <string>
 
 #include "lab/soak_environment_impl.h"
 
@@ -122,10 +124,31 @@
 }
 
 void SoakEnvironment::WriteInvalidEntry() {
-  static const char* const kValues[] = {
-      "not json", "{}", R"({"service":7,"address":true})",
-      R"({"service":"short","address":"127.0.5.1:1","slots":"x"})"};
-  store_.PutRaw("i-0000dead", kValues[Random(4)]);
+  constexpr size_t kLevels = 100'000;
+  constexpr size_t kLargeBytes = 1 << 18;
+  const std::string address = targets_.back()->record.address.ToString();
+  const std::string values[] = {
+      "not json",
+      "{}",
+      R"({"service":7,"address":true})",
+      R"({"service":"short","address":"127.0.5.1:1","slots":"x"})",
+      std::string(kLevels, '['),
+      std::string(kLargeBytes, '9'),
+      R"({"service":"short","zone":"a","version":"v1","slots":1e400,)"
+      R"("state":"ready","warmup_left_ms":0,"seq":1,"born":1,"address":")" +
+          address + "\"}",
+      R"({"service":"short","zone":"a","version":"v1","slots":2,)"
+      R"("state":"ready","warmup_left_ms":0,"seq":1,"born":1,)"
+      R"("address":"127.0.5.1:65536"})",
+      R"({"service":"short","zone":"a","version":"v1","slots":2,)"
+      R"("state":"ready","address":")" +
+          address + "\"}"};
+  const std::string& value =
+      values[Random(static_cast<uint32_t>(std::size(values)))];
+  // Some keys end with the id of a target.
+  store_.PutRaw(
+      Random(2) == 0 ? "i-0000dead" : "inv-" + targets_.back()->record.id,
+      value);
 }
 
 void SoakEnvironment::ChangeConfig(TimePoint now) {
