--- a/lab/soak_changes.cc
+++ b/lab/soak_changes.cc
@@ -127,6 +127,10 @@
   constexpr size_t kLevels = 100'000;
   constexpr size_t kLargeBytes = 1 << 18;
   const std::string address = targets_.back()->record.address.ToString();
+  const std::string begin =
+      R"({"service":"short","zone":"a","version":"v1","state":"ready",)";
+  const std::string counts = R"("warmup_left_ms":0,"seq":1,"born":1,)";
+  const std::string own_address = "\"address\":\"" + address + "\"}";
   const std::string values[] = {
       "not json",
       "{}",
@@ -134,15 +138,9 @@
       R"({"service":"short","address":"127.0.5.1:1","slots":"x"})",
       std::string(kLevels, '['),
       std::string(kLargeBytes, '9'),
-      R"({"service":"short","zone":"a","version":"v1","slots":1e400,)"
-      R"("state":"ready","warmup_left_ms":0,"seq":1,"born":1,"address":")" +
-          address + "\"}",
-      R"({"service":"short","zone":"a","version":"v1","slots":2,)"
-      R"("state":"ready","warmup_left_ms":0,"seq":1,"born":1,)"
-      R"("address":"127.0.5.1:65536"})",
-      R"({"service":"short","zone":"a","version":"v1","slots":2,)"
-      R"("state":"ready","address":")" +
-          address + "\"}"};
+      begin + counts + "\"slots\":1e400," + own_address,
+      begin + counts + R"("slots":2,"address":"127.0.5.1:65536"})",
+      begin + "\"slots\":2," + own_address};
   const std::string& value =
       values[Random(static_cast<uint32_t>(std::size(values)))];
   // Some keys end with the id of a target.
--- a/src/forward/forwarder.h
+++ b/src/forward/forwarder.h
@@ -181,8 +181,6 @@
   static bool HasMissedPackets(const PacketHeader& header,
                                const TrackedFlow& flow);
   void OnResponse(const PacketHeader& header, TrackedFlow& flow, TimePoint now);
-  // Passes the time that a request took, or has taken so far, to admission
-  // control.
   // Avoids a target that responded without doing the usual work.
   void CheckForQuickFailure(const TrackedFlow& flow,
                             TargetEntry& entry,
@@ -191,6 +189,8 @@
                        std::string_view outcome,
                        Reason reason,
                        TimePoint now);
+  // Passes the time that a request took, or has taken so far, to admission
+  // control.
   void ReportResponseTime(const TrackedFlow& flow, TimePoint now);
   // Counts the flow's request as outstanding at a target.
   void CountRequest(TrackedFlow& flow, TargetEntry& entry);
--- a/tests/platform/foreign_entries_test.cc
+++ b/tests/platform/foreign_entries_test.cc
@@ -39,7 +39,10 @@
 std::string ToText(const Fields& fields) {
   std::string text;
   for (const auto& [name, value] : fields) {
-    text += (text.empty() ? "{\"" : ",\"") + name + "\":" + value;
+    text += text.empty() ? "{\"" : ",\"";
+    text += name;
+    text += "\":";
+    text += value;
   }
   return text + "}";
 }
