Leave a SYN to its client once the next retransmission is due

Cause: the target was dead and known to be, but the flow had moved to another VM. Its client had retransmitted there after 200 ms and had got a working target. The first VM still had the SYN and sent it to a third target 522 ms after it came.

Why it works: a retransmission that is due and does not come through this VM has come through another one. A VM resends a SYN only until 20 ms before the client's next retransmission.

--- a/src/forward/flow_tracker.h
+++ b/src/forward/flow_tracker.h
@@ -19,7 +19,12 @@
 
 // Number of targets that one SYN may be sent to.
 inline constexpr size_t kMaxSynAttempts = 4;
-// Clients stop retransmitting a SYN after 1.4 s.
+// When clients retransmit an unanswered SYN for the first and the second time,
+// and when they give up, from the first SYN on.
+inline constexpr Duration kFirstSynRetransmission =
+    std::chrono::milliseconds(200);
+inline constexpr Duration kSecondSynRetransmission =
+    std::chrono::milliseconds(600);
 inline constexpr Duration kSynTimeout = std::chrono::milliseconds(1400);
 // Lifetime of a tracked flow after its last request began. It exceeds the
 // request deadlines of all deployments.
@@ -44,6 +49,8 @@
   uint64_t route_key = 0;  // RouteKeyOf()
   TimePoint added_at;
   TimePoint assigned_at;  // when the SYN was first sent to the target
+  // When the client sends its SYN again, or gives up, if it gets no answer.
+  TimePoint next_client_syn_at;
   TimePoint request_started_at;
   // From the SYN to the next packet of the flow. 0 if this VM did not see both
   // or has resent the SYN.
--- a/src/forward/forwarder.cc
+++ b/src/forward/forwarder.cc
@@ -12,6 +12,19 @@
 // Retransmission of a SYN by the client after which its target is given up even
 // if it answers others. The target has sent its answer several times by then.
 constexpr uint32_t kLastRetransmission = 2;
+
+// Time from a SYN that was retransmitted this often to the next one.
+constexpr Duration UntilNextSyn(uint32_t retransmissions) {
+  switch (retransmissions) {
+    case 0:
+      return kFirstSynRetransmission;
+    case 1:
+      return kSecondSynRetransmission - kFirstSynRetransmission;
+    default:
+      return kSynTimeout - kSecondSynRetransmission;
+  }
+}
+
 // Gap between two batches after which waiting SYNs are stale. Clients
 // retransmit a SYN after 200 ms, possibly through another VM. Without a
 // suspension the gaps are at most 20 ms long.
@@ -123,6 +136,7 @@
     }
     flow->route_key = key;
     flow->syn_sequence = header.sequence;
+    flow->next_client_syn_at = now + UntilNextSyn(header.acknowledged);
     if (datagram.size() == kPacketHeaderBytes) {
       std::memcpy(flow->syn_packet.data(), datagram.data(), kPacketHeaderBytes);
     }
@@ -153,6 +167,7 @@
 TargetEntry* Forwarder::OnRetransmittedSyn(const PacketHeader& header,
                                            TrackedFlow& flow,
                                            TimePoint now) {
+  flow.next_client_syn_at = now + UntilNextSyn(header.acknowledged);
   TargetEntry* entry = targets_.Find(flow.token);
   if (entry == nullptr || !TakesNewFlows(entry->target.state)) {
     return AssignTarget(header.flow, flow, now);
@@ -231,6 +246,11 @@
           admission_.OverdueAfter(entry->target.service, route->second)) {
     ReleaseRequest(flow);  // like a request that is overdue
   }
+  if (now + kAnswerDue > flow.next_client_syn_at) {
+    // A retransmission that does not come through this VM comes through another
+    // one, which assigns a target, too.
+    return true;
+  }
   const bool is_silent = IsTargetSilent(flow, *entry);
   if (is_silent) {
     RecordSilence(
