Judge no target by a retransmission that comes after a gap in reception

Cause: the process of the clients and targets stood still for 200 ms and more. The client's retransmission then came just before the answers to the first SYN, and the VM sent it to a second target: its own target had been silent for 200 ms. But this VM had received nothing else either.

SYN sent at 23,974 ms, received by the target at 24,215 ms, retransmission at 24,220 ms, answer of the target at 24,221 ms, answer of the second target at 24,225 ms.

Why it works: after a gap of 100 ms without any packet, a retransmission goes to the same target once more, and counts against the target 40 ms later, if there is still no answer. The only flow of a VM with little traffic loses 40 ms by it. Both new tests of moved_flow_test.cc fail with a gap that is never reached.

--- a/src/forward/flow_tracker.h
+++ b/src/forward/flow_tracker.h
@@ -67,7 +67,10 @@
   std::array<TargetToken, kMaxSynAttempts> tried_targets{};
   uint8_t attempts = 0;
   bool is_syn_resent = false;  // by this VM, to the current target
-  uint32_t syn_sequence = 0;   // valid if `attempts` is not 0
+  // The client has retransmitted the SYN just after a gap in reception, so that
+  // the answer may be on its way.
+  bool is_retransmission_unjudged = false;
+  uint32_t syn_sequence = 0;  // valid if `attempts` is not 0
   HeaderOnlyPacket syn_packet{};
 };
 
--- a/src/forward/forwarder.cc
+++ b/src/forward/forwarder.cc
@@ -1,30 +1,13 @@
-// Target assignment, forwarding by token, and tracking of requests.
+// Forwarding by token and tracking of requests.
 #include "src/forward/forwarder.h"
 
 #include <algorithm>
 #include <chrono>
-#include <cstring>
 #include <utility>
 
 namespace marjoramhall::forward {
 namespace {
 
-// Retransmission of a SYN by the client after which its target is given up even
-// if it answers others. The target has sent its answer several times by then.
-constexpr uint32_t kLastRetransmission = 2;
-
-// Time from a SYN that was retransmitted this often to the next one.
-constexpr Duration UntilNextSyn(uint32_t retransmissions) {
-  switch (retransmissions) {
-    case 0:
-      return kFirstSynRetransmission;
-    case 1:
-      return kSecondSynRetransmission - kFirstSynRetransmission;
-    default:
-      return kSynTimeout - kSecondSynRetransmission;
-  }
-}
-
 // Gap between two batches after which waiting SYNs are stale. Clients
 // retransmit a SYN after 200 ms, possibly through another VM. Without a
 // suspension the gaps are at most 20 ms long.
@@ -66,7 +49,9 @@
                                   std::span<const uint8_t> datagram,
                                   TimePoint now) {
   ++counters_.packets;
-  last_packet_at_ = now;
+  if (now - std::exchange(last_packet_at_, now) >= kReceptionGap) {
+    reception_resumed_at_ = now;
+  }
   if (view_ == nullptr || view_->config_version == 0 ||
       view_->targets.empty()) {
     return Refuse(header, Reason::kNoView, now);
@@ -91,70 +76,6 @@
   return ServiceId::kNone;
 }
 
-PacketVerdict Forwarder::OnSyn(const PacketHeader& header,
-                               std::span<const uint8_t> datagram,
-                               TimePoint now) {
-  ++counters_.syn_packets;
-  if (resuming_) {
-    return Refuse(header, Reason::kStaleSyn, now);
-  }
-  const uint64_t key =
-      RouteKeyOf(header.flow.service_address, header.flow.service_port);
-  const auto route = view_->routes.find(key);
-  if (route == view_->routes.end()) {
-    return Refuse(header, Reason::kNoRoute, now);
-  }
-  TrackedFlow* flow = flows_.Find(header.flow);
-  const bool is_open = flow != nullptr && flow->phase != FlowPhase::kSynSent;
-  const bool is_reused_port =
-      flow != nullptr && (is_open ? header.acknowledged == 0
-                                  : header.sequence != flow->syn_sequence);
-  if (is_open && !is_reused_port) {
-    return Refuse(header, Reason::kDuplicateSyn, now);
-  }
-  if (is_reused_port) {
-    ReleaseRequest(*flow);
-    flows_.Remove(header.flow);
-    flow = nullptr;
-  }
-  TrackedFlow untracked;
-  TargetEntry* entry = nullptr;
-  if (flow == nullptr) {
-    // Admission control does not refuse a retransmitted SYN, because another VM
-    // may have admitted the flow.
-    const ServiceId service = SelectService(route->second, header.flow);
-    if (header.acknowledged == 0 &&
-        !admission_.Admits(service, route->second,
-                           RequestsInProgress(service))) {
-      return Refuse(header, Reason::kOverload, now);
-    }
-    flow = flows_.Add(header.flow, now);
-    if (flow == nullptr) {
-      flow = &untracked;
-    } else {
-      flows_.ScheduleSynCheck(header.flow, now);
-    }
-    flow->route_key = key;
-    flow->syn_sequence = header.sequence;
-    flow->next_client_syn_at = now + UntilNextSyn(header.acknowledged);
-    if (datagram.size() == kPacketHeaderBytes) {
-      std::memcpy(flow->syn_packet.data(), datagram.data(), kPacketHeaderBytes);
-    }
-    entry = AssignTarget(header.flow, *flow, now);
-  } else {
-    entry = OnRetransmittedSyn(header, *flow, now);
-  }
-  if (entry == nullptr) {
-    ReleaseRequest(*flow);
-    flows_.Remove(header.flow);
-    return Refuse(header, Reason::kNoTarget, now);
-  }
-  if (flow == &untracked) {
-    ReleaseRequest(untracked);  // its request is never released otherwise
-  }
-  return {PacketAction::kForward, &entry->target};
-}
-
 uint32_t Forwarder::RequestsInProgress(ServiceId service) const {
   uint32_t n = 0;
   for (const TargetEntry* it : targets_.TargetsOf(service)) {
@@ -164,116 +85,6 @@
   return n;
 }
 
-TargetEntry* Forwarder::OnRetransmittedSyn(const PacketHeader& header,
-                                           TrackedFlow& flow,
-                                           TimePoint now) {
-  flow.next_client_syn_at = now + UntilNextSyn(header.acknowledged);
-  TargetEntry* entry = targets_.Find(flow.token);
-  if (entry == nullptr || !TakesNewFlows(entry->target.state)) {
-    return AssignTarget(header.flow, flow, now);
-  }
-  if (header.acknowledged == 0 || now - flow.assigned_at < kSynAnswerTimeout) {
-    return entry;  // a duplicate, or the answer may be on its way
-  }
-  const bool has_answered_others = entry->last_answer_at > flow.assigned_at;
-  if (!has_answered_others) {
-    RecordSilence(
-        *entry, [&](TargetSilence& it) { it.OnClientRetransmission(now); },
-        now);
-  } else if (header.acknowledged < kLastRetransmission) {
-    return entry;  // the SYN or its answer was probably lost
-  }
-  return AssignTarget(header.flow, flow, now);
-}
-
-TargetEntry* Forwarder::AssignTarget(const FlowKey& key,
-                                     TrackedFlow& flow,
-                                     TimePoint now) {
-  const auto route = view_->routes.find(flow.route_key);
-  if (route == view_->routes.end()) {
-    return nullptr;
-  }
-  const std::span<const TargetToken> tried(flow.tried_targets.data(),
-                                           flow.attempts);
-  TargetEntry* entry = picker_.Pick(targets_, SelectService(route->second, key),
-                                    {tried, !tried.empty()}, now);
-  if (entry == nullptr) {
-    return nullptr;
-  }
-  flow.phase = FlowPhase::kSynSent;
-  CountRequest(flow, *entry);
-  flow.assigned_at = now;
-  flow.is_syn_resent = false;
-  if (flow.attempts < kMaxSynAttempts) {
-    flow.tried_targets[flow.attempts++] = flow.token;
-  }
-  counters_.placed_flows += flow.attempts == 1 ? 1 : 0;
-  LogAssignment(key, flow, *entry, now);
-  return entry;
-}
-
-bool Forwarder::IsTargetSilent(const TrackedFlow& flow,
-                               const TargetEntry& entry) const {
-  return entry.last_answer_at <= flow.assigned_at &&
-         last_packet_at_ >= flow.assigned_at + kAnswerDue;
-}
-
-void Forwarder::RecordSilence(TargetEntry& entry,
-                              const std::function<void(TargetSilence&)>& record,
-                              TimePoint now) {
-  const bool was_suspect = entry.silence.IsSuspect();
-  record(entry.silence);
-  if (!was_suspect && entry.silence.IsSuspect()) {
-    entry.last_probe_at = now;
-    LogTargetHealth(entry, "suspect", Reason::kUnanswered, now);
-  }
-}
-
-bool Forwarder::CheckSynAnswer(const FlowKey& key,
-                               TrackedFlow& flow,
-                               TimePoint now) {
-  if (flow.assigned_at < resumed_at_) {
-    return false;  // the flow has moved to another VM during a suspension
-  }
-  TargetEntry* entry = targets_.Find(flow.token);
-  if (entry == nullptr || now - flow.assigned_at < kSynAnswerTimeout ||
-      flow.syn_packet[0] == 0) {
-    return entry != nullptr;
-  }
-  if (const auto route = view_->routes.find(flow.route_key);
-      route != view_->routes.end() &&
-      now - flow.added_at >=
-          admission_.OverdueAfter(entry->target.service, route->second)) {
-    ReleaseRequest(flow);  // like a request that is overdue
-  }
-  if (now + kAnswerDue > flow.next_client_syn_at) {
-    // A retransmission that does not come through this VM comes through another
-    // one, which assigns a target, too.
-    return true;
-  }
-  const bool is_silent = IsTargetSilent(flow, *entry);
-  if (is_silent) {
-    RecordSilence(
-        *entry,
-        [&](TargetSilence& it) { it.OnUnansweredSyn(flow.assigned_at); }, now);
-  }
-  if (entry->target.gone || (is_silent && entry->silence.IsConfirmed())) {
-    entry = flow.attempts < kMaxSynAttempts ? AssignTarget(key, flow, now)
-                                            : nullptr;
-    counters_.moved_syns += entry != nullptr ? 1 : 0;
-  } else if (flow.is_syn_resent || !TakesNewFlows(entry->target.state)) {
-    entry = nullptr;
-  } else {
-    flow.is_syn_resent = true;  // the packet may have been lost
-    LogAssignment(key, flow, *entry, now);
-  }
-  if (entry != nullptr) {
-    ++counters_.resent_syns;
-    hooks_.resend_syn(flow.syn_packet, entry->target);
-  }
-  return true;
-}
-
 PacketVerdict Forwarder::OnNonSyn(const PacketHeader& header, TimePoint now) {
   TargetEntry* entry = targets_.Find(header.token);
   if (entry == nullptr) {
--- a/src/forward/forwarder.h
+++ b/src/forward/forwarder.h
@@ -208,8 +208,9 @@
   ViewPtr view_;
   TimePoint view_confirmed_at_;
   TimePoint last_packet_at_;
-  TimePoint last_batch_at_;  // of BootTimeNow()
-  TimePoint resumed_at_;     // end of the last long gap between batches
+  TimePoint reception_resumed_at_;  // end of the last kReceptionGap
+  TimePoint last_batch_at_;         // of BootTimeNow()
+  TimePoint resumed_at_;            // end of the last long gap between batches
   // Set from a long gap until the next OnTick(). By then all packets that
   // waited during the gap have been passed in.
   bool resuming_ = false;
--- a/src/forward/target_silence.h
+++ b/src/forward/target_silence.h
@@ -24,6 +24,9 @@
 // rotation before the answer was due. Also the least time between two SYNs that
 // no single change of the rotation leaves unanswered.
 inline constexpr Duration kAnswerDue = kSynAnswerTimeout / 2;
+// A VM that has received no packet for this time judges no target by what came
+// to it meanwhile: its network may have stood still, or it has little traffic.
+inline constexpr Duration kReceptionGap = std::chrono::milliseconds(100);
 // Longest time between two unanswered SYNs that confirm each other. Clients
 // retransmit after this time, which is better evidence.
 inline constexpr Duration kConfirmationWindow = std::chrono::milliseconds(200);
--- a/tests/forward/moved_flow_test.cc
+++ b/tests/forward/moved_flow_test.cc
@@ -171,6 +171,30 @@
   EXPECT_TRUE(IsSuspect(silent));
 }
 
+TEST_F(MovedFlowTest, WaitsForAnswersAfterGapInReception) {
+  // Nothing has passed the network for a while: neither the SYN nor the answer.
+  const TargetToken target = Open(1);
+  Pass(milliseconds(205));
+  EXPECT_EQ(Open(1, 1), target);
+  EXPECT_FALSE(IsSuspect(target));
+  Pass(milliseconds(6));
+  forwarder_.OnPacket(MakePacket(1, target, 100, 10), {}, now_);
+  Pass(seconds(1));
+  EXPECT_EQ(forwarder_.counters().moved_syns, 0U);
+  EXPECT_FALSE(IsSuspect(target));
+}
+
+TEST_F(MovedFlowTest, MovesRetransmissionOfOnlyFlowAfterAnswerTimeout) {
+  // A VM without other traffic has a gap in reception, too.
+  const TargetToken silent = Open(1);
+  Pass(milliseconds(200));
+  EXPECT_EQ(Open(1, 1), silent);
+  Pass(kSynAnswerTimeout);
+  Pass(kSynCheckInterval);
+  EXPECT_TRUE(IsSuspect(silent));
+  EXPECT_EQ(forwarder_.counters().moved_syns, 1U);
+}
+
 TEST_F(MovedFlowTest, MovesOtherFlowsOnceClientOfOneRetransmits) {
   const TargetToken silent{1};
   const uint16_t first = OpenAt(silent);
