Let a start of a VM in the soak not end an outage of the store

The soak counts a VM as undisturbed 4 s after its last fault. For an outage of the store the end of the fault lies in the future; a signal, a start or an end of a VM meanwhile overwrote it with the present. So a VM that started during an outage counted 4 s after its start, when the store had not been back for 4 s.

The end of a fault now only moves on. A stop's grace period counts from the last suspension in place of the last fault, so that it gets no longer by this.

--- a/lab/soak_vms.cc
+++ b/lab/soak_vms.cc
@@ -6,6 +6,7 @@
 #include <sys/wait.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <csignal>
 #include <cstring>
 #include <fstream>
@@ -31,6 +32,12 @@
 constexpr uint32_t kFirstVmAddress = 0x7f000101;     // 127.0.1.1
 constexpr uint32_t kFirstProxyAddress = 0x7f000301;  // 127.0.3.1
 
+// A fault of known length, such as an outage of the store, goes on when a VM
+// starts or ends.
+void ExtendTo(TimePoint& fault_end, TimePoint at) {
+  fault_end = std::max(fault_end, at);
+}
+
 // Returns a UDP port that is free on the first VM's address.
 uint16_t FreePort() {
   net::UdpSocket socket;
@@ -119,9 +126,9 @@
   vm.terminating = false;
   vm.needs_restart = false;
   vm.started_at = SteadyNow();
-  vm.last_fault_end = vm.started_at;
+  ExtendTo(vm.last_fault_end, vm.started_at);
   if (std::exchange(vm.was_killed, false)) {
-    vm.last_unplanned_end = vm.last_fault_end;
+    ExtendTo(vm.last_unplanned_end, vm.started_at);
   }
   return "";
 }
@@ -132,6 +139,7 @@
   }
   if (signal == SIGSTOP || signal == SIGCONT) {
     vm.suspended = signal == SIGSTOP;
+    vm.resumed_at = SteadyNow();
   }
   if (signal == SIGTERM) {
     vm.terminating = true;
@@ -142,9 +150,9 @@
     waitpid(vm.pid, nullptr, 0);
     vm.pid = 0;
   }
-  vm.last_fault_end = SteadyNow();
+  ExtendTo(vm.last_fault_end, SteadyNow());
   if (signal != SIGTERM && signal != SIGHUP) {
-    vm.last_unplanned_end = vm.last_fault_end;
+    ExtendTo(vm.last_unplanned_end, SteadyNow());
     vm.was_killed = signal == SIGKILL;
   }
 }
@@ -154,7 +162,7 @@
     int status = 0;
     if (it.pid > 0 && waitpid(it.pid, &status, WNOHANG) == it.pid) {
       it.pid = 0;
-      it.last_fault_end = now;
+      ExtendTo(it.last_fault_end, now);
       const int signal = WIFSIGNALED(status) ? WTERMSIG(status) : 0;
       if ((signal == SIGHUP || signal == SIGTERM) &&
           now - it.started_at < kStartPeriod) {
@@ -173,7 +181,7 @@
       }
     }
     if (it.pid > 0 && it.terminating && !it.suspended &&
-        now - std::max(it.terminating_since, it.last_fault_end) >
+        now - std::max(it.terminating_since, it.resumed_at) >
             kStopGracePeriod) {
       return it.name + " did not exit within the grace period";
     }
--- a/lab/soak_vms.h
+++ b/lab/soak_vms.h
@@ -29,6 +29,7 @@
   bool suspended = false;    // by SIGSTOP
   bool terminating = false;  // after SIGTERM
   TimePoint terminating_since;
+  TimePoint resumed_at;  // the last SIGSTOP or SIGCONT
   // End of the last fault that affected this VM; in the future during a fault
   // of known length.
   TimePoint last_fault_end;
