Stop HTTP servers only once they run

Cause: httplib::Server::stop() has no effect before the server's thread has entered its loop. OperatorServer waited until the server runs, for 5 s only. Change: net::HttpServerThread starts the thread and returns when the server runs, or when it has ended without running, which is an error of Open(). No deadline, and no wait for a server that has ended.

--- a/lab/store_server.cc
+++ b/lab/store_server.cc
@@ -1,8 +1,6 @@
 // HTTP handlers that serve a StoreTable.
 #include "lab/store_server.h"
 
-#include <httplib.h>
-
 #include <algorithm>
 #include <atomic>
 #include <charconv>
@@ -15,6 +13,8 @@
 #include <utility>
 
 #include "src/control/store_table.h"
+#include "src/net/http_library.h"
+#include "src/net/http_server_thread.h"
 
 namespace marjoramhall::lab {
 namespace {
@@ -89,7 +89,7 @@
   std::string StatsJson();
 
   httplib::Server server;
-  std::thread thread;
+  net::HttpServerThread thread;
   Endpoint local;
 
   std::mutex mutex;
@@ -292,23 +292,24 @@
     impl_->stopping = true;
   }
   impl_->changed.notify_all();
-  impl_->server.stop();
-  if (impl_->thread.joinable()) {
-    impl_->thread.join();
-  }
+  impl_->thread.Stop();
 }
 
 std::string StoreServer::Open(const Endpoint& listen) {
   const std::string host = listen.address.ToString();
+  const std::string what = "listening on " + listen.ToString() + " as store: ";
   int port = listen.port;
   const bool bound = port == 0
                          ? (port = impl_->server.bind_to_any_port(host)) > 0
                          : impl_->server.bind_to_port(host, port);
   if (!bound) {
-    return "listening on " + listen.ToString() + " as store: bind failed";
+    return what + "bind failed";
   }
   impl_->local = {listen.address, static_cast<uint16_t>(port)};
-  impl_->thread = std::thread([this] { impl_->server.listen_after_bind(); });
+  if (const std::string error = impl_->thread.Start(impl_->server);
+      !error.empty()) {
+    return what + error;
+  }
   return "";
 }
 
--- a/src/net/operator_server.cc
+++ b/src/net/operator_server.cc
@@ -11,10 +11,10 @@
 #include <future>
 #include <mutex>
 #include <nlohmann/json.hpp>
-#include <thread>
 #include <utility>
 
 #include "src/net/http_library.h"
+#include "src/net/http_server_thread.h"
 
 namespace marjoramhall::net {
 namespace {
@@ -232,7 +232,7 @@
   const OperatorServerOptions options;
   control::PlanService& service;
   std::unique_ptr<httplib::Server> server;
-  std::thread thread;
+  HttpServerThread thread;
   std::mutex metrics_mutex;
   std::atomic<bool> stopping{false};
   uint16_t port = 0;
@@ -245,10 +245,7 @@
 
 OperatorServer::~OperatorServer() {
   impl_->stopping = true;
-  if (impl_->thread.joinable()) {
-    impl_->server->stop();
-    impl_->thread.join();
-  }
+  impl_->thread.Stop();
 }
 
 std::string OperatorServer::Open() {
@@ -259,6 +256,7 @@
   impl_->AddRoutes();
   const Endpoint& listen = impl_->options.listen;
   const std::string host = listen.address.ToString();
+  std::string refusal = "cannot listen for operators on " + listen.ToString();
   int port = listen.port;
   if (port == 0) {
     port = impl_->server->bind_to_any_port(host);
@@ -266,14 +264,12 @@
     port = -1;
   }
   if (port <= 0) {
-    return "cannot listen for operators on " + listen.ToString();
+    return refusal;
   }
   impl_->port = static_cast<uint16_t>(port);
-  impl_->thread = std::thread([this] { impl_->server->listen_after_bind(); });
-  // Waits until the server runs, because stop() has no effect before that.
-  const auto deadline = SteadyNow() + std::chrono::seconds(5);
-  while (!impl_->server->is_running() && SteadyNow() < deadline) {
-    std::this_thread::yield();
+  if (const std::string error = impl_->thread.Start(*impl_->server);
+      !error.empty()) {
+    return refusal + ": " + error;
   }
   return "";
 }
--- a/tests/lab/store_server_test.cc
+++ b/tests/lab/store_server_test.cc
@@ -69,6 +69,13 @@
   control::StoreClient client_;
 };
 
+TEST(StoreServerStopTest, EndsWhenDestroyedRightAfterOpen) {
+  for (int i = 0; i < 200; ++i) {
+    StoreServer server;
+    ASSERT_EQ(server.Open({IpAddress::FromV4(0x7f000001), 0}), "");
+  }
+}
+
 TEST_F(StoreServerTest, ReadsAndSwapsByVersion) {
   EXPECT_EQ(Read("key").second.version, 0u);
   const auto [status, version] = Write(0, "one");
--- a/tests/net/operator_server_test.cc
+++ b/tests/net/operator_server_test.cc
@@ -57,6 +57,15 @@
   std::thread thread_;
 };
 
+TEST_F(OperatorServerTest, EndsWhenDestroyedRightAfterOpen) {
+  for (int i = 0; i < 200; ++i) {
+    OperatorServerOptions options;
+    options.listen = settings::Loopback(0);
+    OperatorServer server(io_, options, world_.vm(0));
+    ASSERT_EQ(server.Open(), "");
+  }
+}
+
 TEST_F(OperatorServerTest, EveryPathRequiresTheToken) {
   OperatorServerOptions options;
   options.token = settings::Secret(kToken);
