Let entries of services that are not configured affect no other entry

Cause: each entry could take something from another one: its address (the entry applied last retired those with the same or an earlier start), its token (the earliest start got it), the order of its reports. Nothing asked whether an entry names a server at all, and the decoder cannot: it depends on the configuration, which may come later and change. The retirement of the former user of an address was an event, so the result depended on the order of events.

Change: TargetRegistry::IsConfigured() decides, and ReviewEntries() asks again when entries or the configuration change. Who uses an address is derived from the entries there. Configurations carry the names of all their services between VMs. Entries that are not configured get no service id, do not make a VM ready, and are passed on to VMs that may have another configuration. Two entries with the same number and address name one server, so the latest report counts.

--- a/src/discovery/records.h
+++ b/src/discovery/records.h
@@ -54,7 +54,8 @@
 
 struct ServiceRecord {
   std::string name;
-  // Requests per second that a target can serve while it is cold, above 0.
+  // Requests per second that a target can serve while it is cold. 0 if
+  // unlimited.
   double warm_up_request_rate = 0;
 
   bool operator==(const ServiceRecord&) const = default;
@@ -64,7 +65,8 @@
   uint64_t version = 0;
   std::vector<RouteRecord> routes;
   Duration flow_idle_timeout{0};
-  std::vector<ServiceRecord> services{};  // those with a warm-up rate
+  // May lack services that only routes name.
+  std::vector<ServiceRecord> services{};
 
   bool operator==(const ConfigRecord&) const = default;
 };
--- a/src/discovery/snapshot_codec.cc
+++ b/src/discovery/snapshot_codec.cc
@@ -129,9 +129,8 @@
   }
   for (const protocol::ServiceState& it : message.services()) {
     const double rate = it.warm_up_request_rate();
-    if (std::isfinite(rate) && rate > 0) {
-      config.services.push_back({it.name(), rate});
-    }
+    const bool is_limited = std::isfinite(rate) && rate > 0;
+    config.services.push_back({it.name(), is_limited ? rate : 0});
   }
   return config;
 }
--- a/src/discovery/target_registry.cc
+++ b/src/discovery/target_registry.cc
@@ -38,7 +38,7 @@
     changed |= Apply(it, now);
   }
   position_ = std::max(position_, position);
-  return changed;
+  return ReviewEntries(now) || changed;
 }
 
 bool TargetRegistry::Apply(const StoreChange& change, TimePoint now) {
@@ -98,6 +98,7 @@
   }
   changed |= RemoveMissing(listing, now, counts);
   position_ = std::max(position_, listing.position);
+  changed |= ReviewEntries(now);
   if (counts != nullptr) {
     LogRestore(before, *counts);
   }
@@ -159,6 +160,9 @@
       // No change tells another VM that the target renews this entry.
       listing.items.push_back(entry.earlier_start->change);
     }
+    if (entry.unconfigured_report) {
+      listing.items.push_back(*entry.unconfigured_report);
+    }
   }
   evacuations_.AppendTo(&listing);
   return listing;
@@ -201,12 +205,6 @@
   if (it != targets_.end() && change.position <= it->second.position) {
     return false;
   }
-  if (it != targets_.end() && change.target) {
-    const ReportOrder order = OrderOf(*change.target, it->second.record);
-    if (order == ReportOrder::kEarlier || order == ReportOrder::kEarlierStart) {
-      return ApplyEarlierReport(it->second, change, order, now);
-    }
-  }
   if (!change.target) {
     if (it == targets_.end()) {
       return false;
@@ -215,6 +213,7 @@
     entry.position = change.position;
     entry.reactivate_at.reset();
     entry.earlier_start.reset();
+    entry.unconfigured_report.reset();
     const TargetState before = entry.state;
     if (!change.removed) {
       Retire(entry, false, "unreadable", now);
@@ -228,18 +227,49 @@
     }
     return entry.state != before;
   }
-  const bool is_new = it == targets_.end();
+  if (it != targets_.end()) {
+    return ApplyReport(it->second, change, "entry-changed", now);
+  }
   Entry& entry = targets_[change.key];
-  if (is_new) {
-    entry.record = *change.target;
-    AddToIndexes(entry);
+  entry.record = *change.target;
+  AddToIndexes(entry);
+  entry.position = change.position;
+  ignored_.erase(change.key);
+  UseReport(entry, *change.target, "joined", now);
+  return true;
+}
+
+bool TargetRegistry::ApplyReport(Entry& entry,
+                                 const StoreChange& change,
+                                 std::string_view reason,
+                                 TimePoint now) {
+  if (IsConfigured(entry.record) && !IsConfigured(*change.target)) {
+    return SetAside(entry, change, now);
+  }
+  if (IsComparable(entry.record, *change.target)) {
+    const ReportOrder order = OrderOf(*change.target, entry.record);
+    if (order == ReportOrder::kEarlier || order == ReportOrder::kEarlierStart) {
+      return ApplyEarlierReport(entry, change, order, now);
+    }
   }
   entry.position = change.position;
   ignored_.erase(change.key);
-  UseReport(entry, *change.target, is_new ? "joined" : "entry-changed", now);
+  UseReport(entry, *change.target, reason, now);
   return true;
 }
 
+bool TargetRegistry::SetAside(Entry& entry,
+                              const StoreChange& change,
+                              TimePoint now) {
+  entry.position = change.position;
+  entry.earlier_start.reset();
+  entry.unconfigured_report = change;
+  LogIgnored(change, kServiceNotConfigured);
+  const TargetState before = entry.state;
+  Retire(entry, false, kServiceNotConfigured, now);
+  return entry.state != before;
+}
+
 void TargetRegistry::UseReport(Entry& entry,
                                TargetRecord report,
                                std::string_view reason,
@@ -250,14 +280,13 @@
   entry.retire_at.reset();
   entry.reactivate_at.reset();
   entry.earlier_start.reset();
+  entry.unconfigured_report.reset();
   entry.stayed_away = false;
   entry.warm_up_until = now + entry.record.warm_up_left;
   SetState(
       entry,
       entry.record.draining ? TargetState::kDraining : TargetState::kActive,
       reason, now);
-  GetOrAssignServiceId(entry.record.service);
-  RetireFormerUsers(entry, now);
   LogSharedToken(entry);
 }
 
@@ -278,17 +307,13 @@
   remove(by_token_, TokenOf(entry.record.instance));
 }
 
-void TargetRegistry::RetireFormerUsers(const Entry& user, TimePoint now) {
-  for (Entry* it : by_address_.at(user.record.address)) {
-    if (it != &user && it->record.start_time_ms <= user.record.start_time_ms) {
-      Retire(*it, true, "address-reused", now);
-    }
-  }
-}
-
 void TargetRegistry::LogSharedToken(const Entry& entry) const {
+  if (!IsConfigured(entry.record)) {
+    return;
+  }
   for (const Entry* it : by_token_.at(TokenOf(entry.record.instance))) {
-    if (it == &entry || it->state == TargetState::kRetired) {
+    if (it == &entry || it->state == TargetState::kRetired ||
+        !IsConfigured(it->record)) {
       continue;
     }
     Decision decision;
@@ -323,14 +348,24 @@
                               TimePoint now) {
   entry.state = state;
   entry.state_changed_at = now;
+  LogState(entry, NameOf(state), reason);
+}
+
+void TargetRegistry::LogState(const Entry& entry,
+                              std::string_view outcome,
+                              std::string_view reason) const {
+  const ServiceId service = FindService(entry.record.service);
+  if (service == ServiceId::kNone) {
+    return;  // no configuration has named it
+  }
   Decision decision;
   decision.kind = DecisionKind::kTargetHealth;
-  decision.service = GetOrAssignServiceId(entry.record.service);
+  decision.service = service;
   decision.target =
       TargetId{static_cast<uint32_t>(TokenOf(entry.record.instance))};
   decision.revision = entry.position.revision;
   decision.store_epoch = entry.position.epoch;
-  decision.outcome = NameOf(state);
+  decision.outcome = outcome;
   decision.reason = reason;
   decision.detail = entry.record.id;
   log_decision_(decision);
@@ -368,11 +403,18 @@
     return false;
   }
   config_ = config;
+  configured_services_.clear();
   for (const RouteRecord& route : config_.routes) {
     for (const ShareRecord& share : route.shares) {
-      GetOrAssignServiceId(share.service);
+      configured_services_.insert(share.service);
     }
   }
+  for (const ServiceRecord& it : config_.services) {
+    configured_services_.insert(it.name);
+  }
+  for (const std::string& it : configured_services_) {
+    AssignServiceId(it);
+  }
   const std::string detail = std::to_string(config.routes.size()) + " routes";
   Decision decision;
   decision.kind = DecisionKind::kConfiguration;
@@ -403,9 +445,16 @@
       SetState(entry, TargetState::kActive, "entry-renewed", now);
       changed = true;
     }
-    if (entry.state == TargetState::kRetired && !entry.reactivate_at &&
+    const bool is_forgotten =
+        entry.state == TargetState::kRetired && !entry.reactivate_at &&
         !entry.earlier_start &&
-        now - entry.state_changed_at >= options_.retired_token_lifetime) {
+        now - entry.state_changed_at >= options_.retired_token_lifetime;
+    if (is_forgotten && entry.unconfigured_report) {
+      UseReport(entry, TargetRecord(*entry.unconfigured_report->target),
+                "entry-changed", now);
+      changed = true;
+      ++it;
+    } else if (is_forgotten) {
       RemoveFromIndexes(entry);
       it = targets_.erase(it);
       changed = true;
@@ -413,12 +462,12 @@
       ++it;
     }
   }
-  return changed;
+  return (changed && ReviewEntries(now)) || changed;
 }
 
-ServiceId TargetRegistry::GetOrAssignServiceId(const std::string& service) {
+void TargetRegistry::AssignServiceId(const std::string& service) {
   const auto next = ServiceId{static_cast<uint32_t>(services_.size() + 1)};
-  return services_.try_emplace(service, next).first->second;
+  services_.try_emplace(service, next);
 }
 
 ServiceId TargetRegistry::FindService(const std::string& service) const {
--- a/src/discovery/target_registry.h
+++ b/src/discovery/target_registry.h
@@ -27,6 +27,9 @@
 // Outcome in the log of an entry that is left out. Any program that may write
 // to the store can cause such lines.
 inline constexpr std::string_view kEntryIgnored = "entry-ignored";
+// Reason in the log of such an entry.
+inline constexpr std::string_view kServiceNotConfigured =
+    "service is not in the configuration";
 
 struct RegistryOptions {
   std::string failure_domain;  // of this VM
@@ -60,6 +63,10 @@
 
   // Applies all changes up to a position of the store. Ignores a change that is
   // older than the known one of its key. Returns whether the view changed.
+  //
+  // An entry whose service the configuration does not name may be another
+  // writer's. It affects no other entry, and comes into force when a later
+  // configuration names its service.
   bool ApplyChanges(const std::vector<StoreChange>& changes,
                     StorePosition position,
                     TimePoint now);
@@ -91,7 +98,8 @@
   uint64_t config_version() const { return config_.version; }
   // Position of the store up to which all changes are applied.
   StorePosition position() const { return position_; }
-  size_t target_count() const { return targets_.size(); }
+  // Targets of services that the configuration names. Cost: linear.
+  size_t target_count() const;
   size_t evacuated_domain_count() const { return evacuations_.size(); }
 
  private:
@@ -120,6 +128,13 @@
     std::optional<TimePoint> reactivate_at;
     // While the store's entry has a report from an earlier start than `record`.
     std::optional<EarlierStart> earlier_start;
+    // The store's entry while the configuration names the service of `record`
+    // and not that of this report.
+    std::optional<StoreChange> unconfigured_report;
+    // These are set by ReviewEntries().
+    bool is_configured = false;  // the configuration names the service
+    bool is_ignored = false;     // logged as an entry that is left out
+    bool is_displaced = false;   // a later target uses the address
   };
 
   // What a listing of a restored store changed, for the log.
@@ -133,12 +148,20 @@
 
   bool Apply(const StoreChange& change, TimePoint now);
   bool ApplyTarget(const StoreChange& change, TimePoint now);
+  // Applies a report to the known entry of its key.
+  bool ApplyReport(Entry& entry,
+                   const StoreChange& change,
+                   std::string_view reason,
+                   TimePoint now);
   // Applies a report that is earlier than the known one, which is kept. Returns
   // whether the view changed.
   bool ApplyEarlierReport(Entry& entry,
                           const StoreChange& change,
                           ReportOrder order,
                           TimePoint now);
+  // Keeps a report until the configuration names its service. Returns whether
+  // the view changed.
+  bool SetAside(Entry& entry, const StoreChange& change, TimePoint now);
   // Makes a report the known one of its target.
   void UseReport(Entry& entry,
                  TargetRecord report,
@@ -162,6 +185,9 @@
                      const std::string& failure_domain,
                      StorePosition position) const;
   void LogRestore(StorePosition before, const RestoreCounts& counts) const;
+  void LogState(const Entry& entry,
+                std::string_view outcome,
+                std::string_view reason) const;
   void SetState(Entry& entry,
                 forward::TargetState state,
                 std::string_view reason,
@@ -171,20 +197,36 @@
   // Keep by_address_ and by_token_ consistent with an entry's record.
   void AddToIndexes(Entry& entry);
   void RemoveFromIndexes(Entry& entry);
-  // Retires other targets at the address of a target, unless they started
+  // Whether the configuration names the service of a report. Everything in
+  // which one entry affects another depends on this, so the answers are
+  // reviewed whenever entries or the configuration change.
+  bool IsConfigured(const TargetRecord& record) const;
+  // Whether both reports may be of one target, so that their order counts.
+  bool IsComparable(const TargetRecord& a, const TargetRecord& b) const;
+  // Updates is_configured and is_displaced of all entries, and applies reports
+  // whose service the configuration names by now. Returns whether the view
+  // changed.
+  bool ReviewEntries(TimePoint now);
+  // The same for the configuration alone.
+  bool ReviewServices(TimePoint now);
+  // The same for entries that share an address.
+  bool ReviewAddresses();
+  // Whether another target uses the address of an entry, because it started
   // later. An address belongs to one target at a time.
-  void RetireFormerUsers(const Entry& user, TimePoint now);
+  bool IsDisplaced(const Entry& entry) const;
   // Logs if another target that is not retired has the same token.
   void LogSharedToken(const Entry& entry) const;
-  // The first of several targets with the same token gets it. Targets that are
-  // not retired come first, then those with an earlier start time, and last
-  // those without one, which are another writer's. The order is
-  // the same on all VMs, and a new target never takes over the flows of
-  // another.
+  // The first of several targets with the same token gets it. Targets of
+  // services that the configuration names come first, then those that are not
+  // retired, then those with an earlier start time, and last those without one,
+  // which are another writer's. The order is the same on all VMs, and a new
+  // target never takes over the flows of another. Entries with the same
+  // instance number and address name the same target, so the latest report
+  // counts.
   std::vector<const Entry*> InOrderOfPrecedence() const;
-  // Returns the id of a service and assigns one at the first call.
-  ServiceId GetOrAssignServiceId(const std::string& service);
-  // Returns kNone for an unknown service.
+  // Gives a service of the configuration an id at the first call.
+  void AssignServiceId(const std::string& service);
+  // Returns kNone for a service that no configuration has named.
   ServiceId FindService(const std::string& service) const;
 
   const RegistryOptions options_;
@@ -197,7 +239,8 @@
   std::map<std::string, std::string> ignored_;  // reasons by store key
   std::unordered_map<std::string, ServiceId> services_;
   Evacuations evacuations_;
-  ConfigRecord config_;  // its version never decreases
+  ConfigRecord config_;                        // its version never decreases
+  std::set<std::string> configured_services_;  // named by config_
   StorePosition config_position_;
   StorePosition position_;  // never decreases
 };
--- a/src/discovery/target_registry_restore.cc
+++ b/src/discovery/target_registry_restore.cc
@@ -14,7 +14,9 @@
     counts->config_version = change.config->version;
   }
   const auto it = targets_.find(change.key);
-  if (!change.target || it == targets_.end()) {
+  if (!change.target || it == targets_.end() ||
+      it->second.unconfigured_report ||
+      !IsComparable(*change.target, it->second.record)) {
     counts->added += change.target ? 1 : 0;
     return Apply(change, now);
   }
@@ -43,6 +45,7 @@
 void TargetRegistry::AwaitNewEntry(Entry& entry, TimePoint now) {
   entry.reactivate_at.reset();
   entry.earlier_start.reset();
+  entry.unconfigured_report.reset();
   if (entry.state == TargetState::kRetired) {
     return;
   }
--- a/src/discovery/target_registry_view.cc
+++ b/src/discovery/target_registry_view.cc
@@ -52,8 +52,9 @@
     target.in_own_domain =
         entry.record.failure_domain == options_.failure_domain;
     target.slots = std::max(entry.record.slots, uint32_t{1});
-    target.state = entry.state;
-    target.gone = entry.state == TargetState::kRetired && entry.gone;
+    target.state = entry.is_displaced ? TargetState::kRetired : entry.state;
+    target.gone = entry.is_displaced ||
+                  (entry.state == TargetState::kRetired && entry.gone);
     target.warm_up_until = entry.warm_up_until;
     if (const auto rate = warm_up_request_rates.find(target.service);
         rate != warm_up_request_rates.end()) {
@@ -73,15 +74,19 @@
   for (const auto& [key, entry] : targets_) {
     entries.push_back(&entry);
   }
-  std::stable_sort(
-      entries.begin(), entries.end(), [](const Entry* a, const Entry* b) {
-        const bool a_retired = a->state == TargetState::kRetired;
-        const bool b_retired = b->state == TargetState::kRetired;
-        const bool a_unknown = a->record.start_time_ms == 0;
-        const bool b_unknown = b->record.start_time_ms == 0;
-        return std::tie(a_retired, a_unknown, a->record.start_time_ms) <
-               std::tie(b_retired, b_unknown, b->record.start_time_ms);
-      });
+  const auto precedence = [](const Entry& entry) {
+    const bool is_retired =
+        entry.is_displaced || entry.state == TargetState::kRetired;
+    const bool is_start_unknown = entry.record.start_time_ms == 0;
+    return std::tuple(!entry.is_configured, is_retired, is_start_unknown,
+                      entry.record.start_time_ms, entry.record.instance,
+                      entry.record.address, ~entry.record.sequence,
+                      !entry.record.draining);
+  };
+  std::stable_sort(entries.begin(), entries.end(),
+                   [&](const Entry* a, const Entry* b) {
+                     return precedence(*a) < precedence(*b);
+                   });
   return entries;
 }
 
