Keep only the newest configuration in the history of relays, and bound its bytes

Cause: ChangeRelay kept the last 1,024 changes, 8,192 while it was polled, each with its whole configuration, on every VM, although only the newest is ever sent. The limit counted changes, and an entry may have a megabyte.

Change: a configuration leaves the history with the next version, and the history has a bound of 6 MiB beside that of changes. Changes of targets are not compacted: after a restored store a follower needs both reports, and a removal means another thing after a drain.

--- a/src/discovery/change_relay.cc
+++ b/src/discovery/change_relay.cc
@@ -12,6 +12,28 @@
   return change.is_target || change.config || !change.evacuated_domain.empty();
 }
 
+// Memory that a change takes, as far as it depends on the bytes of its entry.
+size_t BytesOf(const StoreChange& change) {
+  size_t bytes = sizeof(change) + change.key.size() + change.error.size() +
+                 change.evacuated_domain.size();
+  if (change.target) {
+    bytes += change.target->id.size() + change.target->service.size() +
+             change.target->failure_domain.size();
+  }
+  if (change.config) {
+    for (const RouteRecord& route : change.config->routes) {
+      bytes += sizeof(route) + route.name.size();
+      for (const ShareRecord& it : route.shares) {
+        bytes += sizeof(it) + it.service.size();
+      }
+    }
+    for (const ServiceRecord& it : change.config->services) {
+      bytes += sizeof(it) + it.name.size();
+    }
+  }
+  return bytes;
+}
+
 }  // namespace
 
 ChangeRelay::ChangeRelay(ChangeRelayOptions options,
@@ -20,6 +42,7 @@
 
 void ChangeRelay::OnListing(StorePosition position) {
   history_.clear();
+  history_bytes_ = 0;
   position_ = std::max(position_, position);
   floor_ = position_;
 }
@@ -29,18 +52,38 @@
                             TimePoint now) {
   for (const StoreChange& it : changes) {
     if (it.position > position_ && IsOfUse(it)) {
-      history_.push_back({it, now});
+      AddToHistory(it, now);
     }
   }
   position_ = std::max(position_, position);
   const size_t limit =
       IsPolled(now) ? options_.max_polled_history : options_.max_history;
-  while (history_.size() > limit) {
+  while (history_.size() > limit ||
+         history_bytes_ > options_.max_history_bytes) {
     floor_ = history_.front().change.position;
+    history_bytes_ -= history_.front().bytes;
     history_.pop_front();
   }
 }
 
+void ChangeRelay::AddToHistory(const StoreChange& change, TimePoint now) {
+  if (change.config) {
+    RemoveReplacedConfigs(change.config->version);
+  }
+  const size_t bytes = BytesOf(change);
+  history_.push_back({change, now, bytes});
+  history_bytes_ += bytes;
+}
+
+void ChangeRelay::RemoveReplacedConfigs(uint64_t version) {
+  std::erase_if(history_, [&](const HistoryEntry& it) {
+    const bool is_replaced =
+        it.change.config && it.change.config->version <= version;
+    history_bytes_ -= is_replaced ? it.bytes : 0;
+    return is_replaced;
+  });
+}
+
 ChangeRelay::Answer ChangeRelay::Poll(StorePosition after,
                                       const State& state,
                                       TimePoint now) {
--- a/src/discovery/change_relay.h
+++ b/src/discovery/change_relay.h
@@ -48,6 +48,9 @@
   // largest fleet, which may all join or leave between two polls. Sets of all
   // entries would grow with the fleet twice, in number and in size.
   size_t max_polled_history = 8192;
+  // Memory of these changes, since one entry may be a megabyte long: a tenth of
+  // that of the smallest VM.
+  size_t max_history_bytes = size_t{6} << 20;
   // Time since the last poll after which no VM depends on this relay.
   Duration idle_after = std::chrono::seconds(3);
 };
@@ -126,13 +129,19 @@
   struct HistoryEntry {
     StoreChange change;
     TimePoint received_at;
+    size_t bytes = 0;  // of memory
   };
 
+  void AddToHistory(const StoreChange& change, TimePoint now);
+  // Removes configurations that a later one replaces. No follower needs them.
+  void RemoveReplacedConfigs(uint64_t version);
+
   const ChangeRelayOptions options_;
   const std::function<Listing()> snapshot_;
   // All changes after floor_ and up to position_, ordered by position and of
-  // one epoch.
+  // one epoch. Of the configurations only the newest.
   std::deque<HistoryEntry> history_;
+  size_t history_bytes_ = 0;  // sum of HistoryEntry::bytes
   StorePosition floor_;
   StorePosition position_;                 // never decreases
   std::optional<TimePoint> last_poll_at_;  // by a VM of a fleet with relays
--- a/tests/discovery/change_relay_test.cc
+++ b/tests/discovery/change_relay_test.cc
@@ -121,6 +121,62 @@
   EXPECT_TRUE(relay_.Poll({0, 10}, state_, now_).set->complete);
 }
 
+// Configurations of thousands of routes in quick succession took all memory of
+// a VM, although a follower can use the newest only.
+TEST_F(ChangeRelayTest, KeepsOnlyTheNewestConfiguration) {
+  for (uint64_t i = 11; i <= 14; ++i) {
+    relay_.OnChanges({MakeConfig(i, 2 * i), MakePut(i, 2 * i + 1)},
+                     {0, 2 * i + 1}, now_);
+  }
+  const auto answer = relay_.Poll({0, 22}, state_, now_);
+  ASSERT_TRUE(answer.set);
+  EXPECT_TRUE(answer.set->complete);  // five changes are too many
+  const auto later = relay_.Poll({0, 23}, state_, now_);
+  ASSERT_FALSE(later.set->complete);
+  std::vector<uint64_t> versions;
+  size_t targets = 0;
+  for (const StoreChange& it : later.set->changes) {
+    targets += it.target ? 1 : 0;
+    if (it.config) {
+      versions.push_back(it.config->version);
+    }
+  }
+  EXPECT_EQ(versions, std::vector<uint64_t>{14});
+  EXPECT_EQ(targets, 3U);
+}
+
+// A store may give a version that it has lost to another configuration.
+TEST_F(ChangeRelayTest, KeepsAConfigurationOfALaterVersion) {
+  relay_.OnChanges({MakeConfig(5, 11), MakeConfig(4, 12)}, {0, 12}, now_);
+  EXPECT_EQ(relay_.Poll({0, 10}, state_, now_).set->changes.size(), 2U);
+}
+
+// The number of changes bounds no memory: one entry may be a megabyte long.
+TEST_F(ChangeRelayTest, BoundsItsHistoryInBytes) {
+  ChangeRelayOptions options;
+  ChangeRelay relay(options, [this] { return snapshot_; });
+  relay.OnListing({0, 10});
+  constexpr size_t kEntryBytes = size_t{1} << 20;
+  const uint64_t n = options.max_history_bytes / kEntryBytes;
+  for (uint64_t i = 11; i < 11 + 2 * n; ++i) {
+    StoreChange change = MakePut(i, i);
+    change.target->service.assign(kEntryBytes, 'x');
+    relay.OnChanges({change}, {0, i}, now_);
+  }
+  const uint64_t newest = 10 + 2 * n;
+  EXPECT_TRUE(relay.Poll({0, newest - n}, state_, now_).set->complete);
+  const auto answer = relay.Poll({0, newest - n + 1}, state_, now_);
+  EXPECT_FALSE(answer.set->complete);
+  EXPECT_EQ(answer.set->changes.size(), n - 1);
+  // A configuration that is no longer kept counts no more.
+  for (uint64_t i = 1; i <= 100; ++i) {
+    StoreChange config = MakeConfig(i, newest + i);
+    config.config->routes[0].name.assign(kEntryBytes, 'x');
+    relay.OnChanges({config}, {0, newest + i}, now_);
+  }
+  EXPECT_FALSE(relay.Poll({0, newest}, state_, now_).set->complete);
+}
+
 TEST_F(ChangeRelayTest, CountsDownTheWarmUpOfTargets) {
   relay_.OnChanges({MakePut(1, 11)}, {0, 11}, now_);
   now_ += milliseconds(900);
--- a/tests/platform/foreign_entries_test.cc
+++ b/tests/platform/foreign_entries_test.cc
@@ -133,6 +133,9 @@
     entries.push_back(With("state", '"' + std::string(it) + '"'));
   }
   entries.push_back(With("service", R"("")"));
+  for (const char* it : {"service", "zone"}) {
+    entries.push_back(With(it, '"' + std::string(1025, 'x') + '"'));
+  }
   entries.push_back(With("slots", "0"));
   entries.push_back(With("slots", "65537"));
   return entries;
