Move a SYN only once a client has proven its target silent

Cause: two unanswered SYNs of a target, 20 to 200 ms apart, counted as proof of its silence, since no single change of the rotation explains both. Two changes do. The VM sent the second SYN to another target, and both answered.

Change: two such SYNs make the target suspect, so that new flows avoid it. A SYN that is on its way leaves its target only after a client's retransmission, the one proof there is.

Tests that demanded the fault: ResendsSynElsewhereOnceTwoFlowsShowThatTarget- IsSilent is replaced by its opposite; LeavesSynToClientOnceItsRetransmissionIsDue and the two LinkQueueTests prove the silence by a client now and check the same.

--- a/src/forward/forwarder_syn.cc
+++ b/src/forward/forwarder_syn.cc
@@ -253,7 +253,7 @@
         *entry,
         [&](TargetSilence& it) { it.OnUnansweredSyn(flow.assigned_at); }, now);
   }
-  if (entry->target.gone || (is_silent && entry->silence.IsConfirmed())) {
+  if (entry->target.gone || (is_silent && entry->silence.IsProven())) {
     entry = flow.attempts < kMaxSynAttempts ? AssignTarget(key, flow, now)
                                             : nullptr;
     counters_.moved_syns += entry != nullptr ? 1 : 0;
--- a/tests/forward/link_queue_test.cc
+++ b/tests/forward/link_queue_test.cc
@@ -3,6 +3,7 @@
 #include <gtest/gtest.h>
 
 #include <deque>
+#include <map>
 #include <utility>
 
 #include "tests/forward/forwarder_helpers.h"
@@ -45,12 +46,26 @@
     }
   }
 
-  // Opens flows that nobody answers, enough to show that a target is silent.
-  // Returns whether one of them was sent to another target.
+  // Opens flows that nobody answers. The client of one retransmits, which
+  // proves that a target is silent. Returns whether another one was sent to
+  // another target.
   bool MovesUnansweredFlow(bool fill_link) {
-    for (uint16_t port = 10; port < 14; ++port) {
-      forwarder_.OnPacket(MakeSyn(port), syn_bytes_, now_);
-      Receive(milliseconds(25), fill_link);
+    std::map<TargetToken, uint16_t> first;
+    const auto open = [&](uint16_t port) {
+      const PacketVerdict verdict =
+          forwarder_.OnPacket(MakeSyn(port), syn_bytes_, now_);
+      first.try_emplace(verdict.target->token, port);
+    };
+    open(10);
+    open(11);
+    Receive(milliseconds(150), fill_link);
+    open(12);
+    open(13);
+    Receive(milliseconds(50), fill_link);
+    for (const auto& [token, port] : first) {
+      PacketHeader syn = MakeSyn(port);
+      syn.acknowledged = 1;
+      forwarder_.OnPacket(syn, syn_bytes_, now_);
     }
     Receive(milliseconds(60), fill_link);
     return forwarder_.counters().moved_syns > 0;
--- a/tests/forward/moved_flow_test.cc
+++ b/tests/forward/moved_flow_test.cc
@@ -152,15 +152,36 @@
   EXPECT_FALSE(IsSuspect(target));
 }
 
-TEST_F(MovedFlowTest, ResendsSynElsewhereOnceTwoFlowsShowThatTargetIsSilent) {
+// VMs join and leave in groups. Each of two changes takes over a flow that this
+// VM has just sent to the same target, so that the target seems silent. Open
+// flows were reset by a second target.
+TEST_F(MovedFlowTest, SendsNoSynElsewhereWhenTwoChangesTakeAFlowEach) {
+  const TargetToken target{1};
+  for (const Duration apart :
+       {kAnswerDue, kSynAnswerTimeout, Duration(milliseconds(100)),
+        Duration(kSuspicionWindow - milliseconds(1))}) {
+    OpenAt(target);
+    PassWithTraffic(apart, target);
+    OpenAt(target);
+    PassWithTraffic(milliseconds(250), target);
+    EXPECT_EQ(forwarder_.counters().moved_syns, 0U);
+    // An answer through this VM ends the suspicion.
+    forwarder_.OnPacket(MakePacket(port_, target, 100, 10), {}, now_);
+    EXPECT_FALSE(IsSuspect(target));
+    PacketHeader fin = MakePacket(port_, target, 200);
+    fin.fin = true;
+    forwarder_.OnPacket(fin, {}, now_);
+  }
+}
+
+TEST_F(MovedFlowTest, SuspectsTargetOfTwoSilentFlows) {
   const TargetToken silent{1};
   OpenAt(silent);
   PassWithTraffic(kAnswerDue, silent);
   OpenAt(silent);
   PassWithTraffic(kSynAnswerTimeout + kSynCheckInterval, silent);
   EXPECT_TRUE(IsSuspect(silent));
-  // Both flows have left it long before their clients retransmit.
-  EXPECT_EQ(forwarder_.counters().moved_syns, 2U);
+  EXPECT_NE(Open(++port_), silent);  // new flows go elsewhere
 }
 
 TEST_F(MovedFlowTest, SendsRetransmissionOfClientToAnotherTarget) {
@@ -208,17 +229,18 @@
 }
 
 TEST_F(MovedFlowTest, LeavesSynToClientOnceItsRetransmissionIsDue) {
-  // The client retransmits through another VM, which assigns a target.
+  // The first client retransmits through another VM, which assigns a target.
   const TargetToken silent{1};
   OpenAt(silent);
-  PassWithTraffic(kFirstSynRetransmission, silent);
-  for (int i = 0; i < 2; ++i) {
-    OpenAt(silent);
-    PassWithTraffic(kAnswerDue, silent);
-  }
+  PassWithTraffic(kSuspicionWindow + milliseconds(10), silent);
+  const uint16_t proving = OpenAt(silent);
+  PassWithTraffic(milliseconds(40), silent);
+  OpenAt(silent);
+  PassWithTraffic(milliseconds(160), silent);
+  Open(proving, 1);
   PassWithTraffic(milliseconds(200), silent);
   EXPECT_TRUE(IsSuspect(silent));
-  EXPECT_EQ(forwarder_.counters().moved_syns, 2U);
+  EXPECT_EQ(forwarder_.counters().moved_syns, 1U);
 }
 
 TEST_F(MovedFlowTest, SendsRetransmissionToSameTargetIfItAnswersOthers) {
@@ -300,29 +322,44 @@
   TargetSilence silence;
   TimePoint at{seconds(1000)};
   for (int i = 0; i < 10; ++i) {
-    silence.OnUnansweredSyn(at += kConfirmationWindow + milliseconds(1));
+    silence.OnUnansweredSyn(at += kSuspicionWindow + milliseconds(1));
     EXPECT_FALSE(silence.IsSuspect());
   }
 }
 
-TEST(TargetSilenceTest, ConfirmsSuspicionAnewAfterLongTime) {
+TEST(TargetSilenceTest, OnlyAClientProvesSilence) {
+  TargetSilence silence;
+  TimePoint at{seconds(1000)};
+  for (int i = 0; i < 10; ++i) {
+    silence.OnUnansweredSyn(at += kSynAnswerTimeout);
+    EXPECT_FALSE(silence.IsProven());
+  }
+  EXPECT_TRUE(silence.IsSuspect());
+  silence.OnClientRetransmission(at += kSynAnswerTimeout);
+  EXPECT_TRUE(silence.IsProven());
+}
+
+TEST(TargetSilenceTest, HasToBeProvenAnewAfterLongTime) {
   TargetSilence silence;
   TimePoint at{seconds(1000)};
-  silence.OnUnansweredSyn(at);
-  silence.OnUnansweredSyn(at += kSynAnswerTimeout);
-  EXPECT_TRUE(silence.IsConfirmed());
+  silence.OnClientRetransmission(at);
+  silence.OnUnansweredSyn(at += kSilenceLifetime);
+  EXPECT_TRUE(silence.IsProven());
   silence.OnUnansweredSyn(at += kSilenceLifetime + milliseconds(1));
   EXPECT_TRUE(silence.IsSuspect());
-  EXPECT_FALSE(silence.IsConfirmed());
+  EXPECT_FALSE(silence.IsProven());
   silence.OnUnansweredSyn(at += seconds(1));
-  EXPECT_TRUE(silence.IsConfirmed());
+  EXPECT_FALSE(silence.IsProven());
+  silence.OnClientRetransmission(at += seconds(1));
+  EXPECT_TRUE(silence.IsProven());
   silence.OnAnswer();
   EXPECT_FALSE(silence.IsSuspect());
+  EXPECT_FALSE(silence.IsProven());
 }
 
 // A model of one VM whose targets all work, and of a rotation that takes flows
-// away at random moments, at least a handshake apart from each other. However
-// flows come, no SYN reaches a second target.
+// away at random moments, also several times within a handshake. However flows
+// come, no SYN reaches a second target.
 RC_GTEST_PROP(MovedFlowProperty, WorkingTargetsShareNoFlow, ()) {
   std::map<uint16_t, std::set<TargetToken>> targets_of;
   ForwarderHooks hooks = NoHooks();
@@ -341,7 +378,7 @@
   for (int i = 0; i < steps; ++i) {
     now += milliseconds(*rc::gen::inRange(1, 15));
     if (now >= next_change && *rc::gen::inRange(0, 10) == 0) {
-      next_change = now + seconds(1);
+      next_change = now + milliseconds(*rc::gen::inRange(0, 200));
       const auto one_of = *rc::gen::inRange<size_t>(1, 3);
       for (size_t k = 0; k < answers.size(); k += one_of) {
         answers[k].second.second = TargetToken::kNone;  // has moved
--- a/tests/forward/overload_simulation_test.cc
+++ b/tests/forward/overload_simulation_test.cc
@@ -13,6 +13,8 @@
 using std::chrono::seconds;
 
 constexpr uint64_t kSeeds = 3;
+// For a load whose outcome differs by a hundredth between single seeds.
+constexpr uint64_t kManySeeds = 40;
 constexpr double kMinFractionOfIdeal = 0.95;
 
 // Request classes of a small deployment: short reads, and writes that are not
@@ -104,9 +106,10 @@
 }
 
 // Returns the sums over all seeds, by phase.
-std::vector<PhaseResult> RunAllSeeds(SimulationOptions options) {
+std::vector<PhaseResult> RunAllSeeds(SimulationOptions options,
+                                     uint64_t seeds = kSeeds) {
   std::vector<PhaseResult> sum;
-  for (uint64_t seed = 1; seed <= kSeeds; ++seed) {
+  for (uint64_t seed = 1; seed <= seeds; ++seed) {
     options.seed = seed;
     const std::vector<PhaseResult> results = OverloadSimulation(options).Run();
     sum.resize(results.size());
@@ -121,10 +124,13 @@
 }
 
 // Compares the phase with one ideal queue that knows all free slots.
-void ExpectNearIdeal(SimulationOptions options, size_t phase) {
-  const double ratio = RunAllSeeds(options)[phase].Sum().ValueRatio();
+void ExpectNearIdeal(SimulationOptions options,
+                     size_t phase,
+                     uint64_t seeds = kSeeds) {
+  const double ratio = RunAllSeeds(options, seeds)[phase].Sum().ValueRatio();
   options.ideal_queue = true;
-  const double ideal_ratio = RunAllSeeds(options)[phase].Sum().ValueRatio();
+  const double ideal_ratio =
+      RunAllSeeds(options, seeds)[phase].Sum().ValueRatio();
   EXPECT_GE(ratio, kMinFractionOfIdeal * ideal_ratio)
       << ratio << " of " << ideal_ratio;
 }
@@ -283,7 +289,7 @@
   }
   SimulationOptions options = TightObjective();
   options.phases = {{1, seconds(4)}, {1.6, seconds(6), 7}};
-  ExpectNearIdeal(options, 1);
+  ExpectNearIdeal(options, 1, kManySeeds);
 }
 
 }  // namespace
