Let lost evacuations leave a service its targets, and remember withdrawals

Cause: Evacuations::Mark() let a lost evacuation yield only to one that the store has, so that two lost ones left no target.

Change: a lost evacuation does not take the last targets of a service.

--- a/src/discovery/evacuations.cc
+++ b/src/discovery/evacuations.cc
@@ -1,6 +1,7 @@
 // Order of the changes of evacuations, and restored stores.
 #include "src/discovery/evacuations.h"
 
+#include <algorithm>
 #include <set>
 #include <utility>
 
@@ -10,25 +11,33 @@
     : lost_lifetime_(lost_lifetime), report_(std::move(report)) {}
 
 bool Evacuations::Apply(const StoreChange& change) {
-  const auto it = domains_.find(change.evacuated_domain);
-  if (it != domains_.end() && change.position <= it->second.position) {
+  const auto [it, is_new] = domains_.try_emplace(
+      change.evacuated_domain, Entry{change.key, change.position, {}, true});
+  Entry& entry = it->second;
+  if (!is_new && change.position <= entry.position) {
     return false;
   }
-  if (!change.removed) {
-    if (it != domains_.end()) {  // written again
-      const bool was_lost = it->second.lapses_at.has_value();
-      it->second = {change.key, change.position, {}};
-      return was_lost;
-    }
-    domains_[change.evacuated_domain] = {change.key, change.position, {}};
+  if (change.removed) {
+    return Withdraw(it->first, entry, change.position, kEvacuationWithdrawn);
+  }
+  const bool was_in_force = !entry.is_withdrawn && !entry.lapses_at;
+  if (entry.is_withdrawn) {
     report_(kDomainEvacuated, change.evacuated_domain, change.position);
-    return true;
   }
-  if (it == domains_.end()) {
+  entry = {change.key, change.position, {}, false};
+  return !was_in_force;
+}
+
+bool Evacuations::Withdraw(const std::string& domain,
+                           Entry& entry,
+                           StorePosition position,
+                           std::string_view outcome) {
+  entry.position = position;
+  entry.lapses_at.reset();
+  if (std::exchange(entry.is_withdrawn, true)) {
     return false;
   }
-  domains_.erase(it);
-  report_(kEvacuationWithdrawn, change.evacuated_domain, change.position);
+  report_(outcome, domain, position);
   return true;
 }
 
@@ -41,16 +50,20 @@
     if (it.evacuated_domain.empty()) {
       continue;
     }
-    present.insert(it.evacuated_domain);
-    if (listing.position >= known || domains_.contains(it.evacuated_domain)) {
+    if (!it.removed) {
+      present.insert(it.evacuated_domain);
+    }
+    const auto entry = domains_.find(it.evacuated_domain);
+    const bool is_in_force =
+        entry != domains_.end() && !entry->second.is_withdrawn;
+    if (listing.position >= known || is_in_force || it.removed) {
       changed |= Apply(it);
     }
   }
-  for (auto it = domains_.begin(); it != domains_.end();) {
-    auto& [domain, entry] = *it;
-    const bool is_of_earlier_epoch =
-        entry.position.epoch < listing.position.epoch;
-    if (is_of_earlier_epoch) {
+  for (auto& [domain, entry] : domains_) {
+    if (entry.is_withdrawn) {
+      entry.position = std::max(entry.position, listing.position);
+    } else if (entry.position.epoch < listing.position.epoch) {
       // The operator has the store's acknowledgment, which the store forgot.
       if (!entry.lapses_at) {
         entry.lapses_at = now + lost_lifetime_;
@@ -59,56 +72,46 @@
       }
     } else if (!present.contains(domain) &&
                entry.position <= listing.position) {
-      report_(kEvacuationWithdrawn, domain, listing.position);
-      it = domains_.erase(it);
-      changed = true;
-      continue;
+      changed |=
+          Withdraw(domain, entry, listing.position, kEvacuationWithdrawn);
     }
-    ++it;
   }
   return changed;
 }
 
 bool Evacuations::Tick(TimePoint now) {
   bool changed = false;
-  for (auto it = domains_.begin(); it != domains_.end();) {
-    if (it->second.lapses_at && now >= *it->second.lapses_at) {
-      report_(kEvacuationLapsed, it->first, it->second.position);
-      it = domains_.erase(it);
-      changed = true;
-    } else {
-      ++it;
+  for (auto& [domain, entry] : domains_) {
+    if (entry.lapses_at && now >= *entry.lapses_at) {
+      changed |= Withdraw(domain, entry, entry.position, kEvacuationLapsed);
     }
   }
   return changed;
 }
 
+size_t Evacuations::size() const {
+  return static_cast<size_t>(
+      std::count_if(domains_.begin(), domains_.end(),
+                    [](const auto& it) { return !it.second.is_withdrawn; }));
+}
+
 void Evacuations::Mark(const std::vector<std::string>& domains,
                        std::vector<forward::Target>* targets) const {
-  struct ServiceTargets {
-    bool has_usual = false;      // in no evacuated domain
-    bool has_requested = false;  // evacuated by a request that the store has
-  };
-  std::map<ServiceId, ServiceTargets> services;
-  const auto is_lost = [](const auto& it) {
-    return it->second.lapses_at.has_value();
-  };
+  // Services with a target in no evacuated domain.
+  std::set<ServiceId> served;
   for (size_t i = 0; i < targets->size(); ++i) {
     forward::Target& target = (*targets)[i];
     const auto it = domains_.find(domains[i]);
-    target.is_evacuated = it != domains_.end();
-    if (forward::IsInService(target)) {
-      ServiceTargets& service = services[target.service];
-      service.has_usual |= !target.is_evacuated;
-      service.has_requested |= target.is_evacuated && !is_lost(it);
+    target.is_evacuated = it != domains_.end() && !it->second.is_withdrawn;
+    if (forward::TakesNewFlows(target)) {
+      served.insert(target.service);
     }
   }
   for (size_t i = 0; i < targets->size(); ++i) {
     forward::Target& target = (*targets)[i];
     const auto it = domains_.find(domains[i]);
-    const ServiceTargets& service = services[target.service];
-    if (it != domains_.end() && is_lost(it) && !service.has_usual &&
-        service.has_requested) {
+    if (it != domains_.end() && it->second.lapses_at &&
+        !served.contains(target.service)) {
       target.is_evacuated = false;
     }
   }
@@ -120,6 +123,7 @@
     item.key = entry.key;
     item.position = entry.position;
     item.evacuated_domain = domain;
+    item.removed = entry.is_withdrawn;
     listing->items.push_back(std::move(item));
   }
 }
--- a/src/discovery/evacuations.h
+++ b/src/discovery/evacuations.h
@@ -55,23 +55,33 @@
 
   // Sets which targets are evacuated. `domains` are their failure domains, in
   // the same order. An evacuation that the store lost may have been withdrawn,
-  // so it does not take the last targets of a service whose others are
-  // evacuated by requests that the store has.
+  // so it does not take the last targets of a service.
   void Mark(const std::vector<std::string>& domains,
             std::vector<forward::Target>* targets) const;
-  size_t size() const { return domains_.size(); }
+  // Number of evacuated domains.
+  size_t size() const;
 
-  // Appends the changes that make these evacuations known to another VM.
+  // Appends the changes that make these evacuations known to another VM, and
+  // withdrawals that it may have missed.
   void AppendTo(Listing* listing) const;
 
  private:
   struct Entry {
-    std::string key;  // in the store
-    StorePosition position;
+    std::string key;         // in the store
+    StorePosition position;  // of the request, or of the withdrawal
     // Set if the store has been restored from a copy that lacks the key.
     std::optional<TimePoint> lapses_at;
+    // A VM that has missed the withdrawal passes the evacuation on, so that a
+    // withdrawn one is remembered. Never set together with lapses_at.
+    bool is_withdrawn = false;
   };
 
+  // Returns whether Mark() may have another result than before.
+  bool Withdraw(const std::string& domain,
+                Entry& entry,
+                StorePosition position,
+                std::string_view outcome);
+
   const Duration lost_lifetime_;
   const ReportHook report_;
   std::map<std::string, Entry> domains_;  // by failure domain
