--- a/lab/soak_environment_impl.h
+++ b/lab/soak_environment_impl.h
@@ -15,6 +15,9 @@
 inline constexpr uint32_t kClientAddress = 0x7f000401;   // 127.0.4.1
 inline constexpr uint32_t kServiceAddress = 0xc6120001;  // 198.18.0.1
 inline constexpr Duration kFirstRetryDelay = std::chrono::milliseconds(200);
+// Deadlines that the platform sets for VMs.
+inline constexpr Duration kConfigBound = std::chrono::seconds(3);
+inline constexpr Duration kEvacuationBound = std::chrono::seconds(3);
 inline constexpr uint16_t kFirstRoutePort = 400;
 inline constexpr uint16_t kUploadRoutePort = 399;
 inline constexpr uint16_t kUploadPacketBytes = 1200;
