Name the logged reason and the store's state beside refusals in the soak

A refusal that the soak finds now carries the reason from the VM's log, or "not logged", and the failure domains that the store evacuates.

--- a/lab/forward_soak.cc
+++ b/lab/forward_soak.cc
@@ -352,10 +352,19 @@
     for (const std::string& it : failures_) {
       std::printf("FAULT %s\n", it.c_str());
     }
-    for (const std::string& it : environment_.violations()) {
+    std::map<const SoakVm*, std::map<std::string, std::string>> reasons;
+    const auto violations =
+        environment_.Violations([&](const SoakVm& vm, const std::string& flow) {
+          const auto [it, is_new] = reasons.try_emplace(&vm);
+          if (is_new) {
+            it->second = vms_.RefusalReasons(vm);
+          }
+          return it->second[flow];
+        });
+    for (const std::string& it : violations) {
       std::printf("BROKEN %s\n", it.c_str());
     }
-    return failures_.empty() && environment_.violations().empty();
+    return failures_.empty() && violations.empty();
   }
 
   std::mt19937_64 random_;
--- a/lab/soak_environment.cc
+++ b/lab/soak_environment.cc
@@ -51,7 +51,34 @@
 }
 
 void SoakEnvironment::AddViolation(const std::string& what) {
-  violations_.push_back(what);
+  violations_.push_back({what, nullptr, ""});
+}
+
+void SoakEnvironment::AddRefusal(const SoakVm& vm, const Flow& flow) {
+  std::string what = "a new flow for " + RouteOf(flow.key).record.name +
+                     " was refused by " + vm.name + ", the store evacuates:";
+  for (const std::string& it : store_.EvacuatedDomains()) {
+    what += " " + it;
+  }
+  const Endpoint client{IpAddress::FromV4(flow.key.client_address),
+                        flow.key.client_port};
+  const Endpoint service{IpAddress::FromV4(flow.key.service_address),
+                         flow.key.service_port};
+  violations_.push_back(
+      {what, &vm, client.ToString() + " to " + service.ToString()});
+}
+
+std::vector<std::string> SoakEnvironment::Violations(
+    const ReasonHook& reason_of) const {
+  std::vector<std::string> texts;
+  for (const Violation& it : violations_) {
+    texts.push_back(it.what);
+    if (it.vm != nullptr) {
+      const std::string reason = reason_of(*it.vm, it.flow);
+      texts.back() += "; reason: " + (reason.empty() ? "not logged" : reason);
+    }
+  }
+  return texts;
 }
 
 SoakVm* SoakEnvironment::ChooseVm(const forward::FlowKey& key) {
@@ -452,8 +479,7 @@
   if (!flow.established && vm != nullptr && IsSettled(*vm, now) &&
       !is_full_link && !may_lack_targets && route.present &&
       flow.opened - route.changed_at > kConfigBound) {
-    AddViolation("a new flow for " + route.record.name + " was refused by " +
-                 vm->name);
+    AddRefusal(*vm, flow);
   }
   ++counts_.refused;
   flows_.erase(it);
--- a/lab/soak_environment.h
+++ b/lab/soak_environment.h
@@ -95,8 +95,12 @@
   // Stops opening flows.
   void StopOpeningFlows() { opening_flows_ = false; }
 
-  // Violated guarantees, each with what was observed.
-  const std::vector<std::string>& violations() const { return violations_; }
+  // Violated guarantees, each with what was observed. `reason_of` returns the
+  // reason that a VM logged for the refusal of a flow ("CLIENT to SERVICE"), or
+  // an empty string.
+  using ReasonHook =
+      std::function<std::string(const SoakVm& vm, const std::string& flow)>;
+  std::vector<std::string> Violations(const ReasonHook& reason_of) const;
   const SoakCounts& counts() const { return counts_; }
   size_t open_flows() const { return flows_.size(); }
 
@@ -168,6 +172,7 @@
   bool IsWithoutTargets(const std::string& service, TimePoint now) const;
   Target& AddTarget(const std::string& service, const Endpoint& address);
   void AddViolation(const std::string& what);
+  void AddRefusal(const SoakVm& vm, const Flow& flow);
   uint32_t Random(uint32_t bound);
 
   SoakVms& vms_;
@@ -204,7 +209,13 @@
   bool opening_flows_ = true;
   bool opening_uploads_ = false;
   bool recovery_phase_ = false;
-  std::vector<std::string> violations_;
+  struct Violation {
+    std::string what;
+    // Of a refused flow.
+    const SoakVm* vm = nullptr;
+    std::string flow;
+  };
+  std::vector<Violation> violations_;
   SoakCounts counts_;
 };
 
--- a/lab/soak_vms.cc
+++ b/lab/soak_vms.cc
@@ -12,6 +12,7 @@
 #include <fstream>
 #include <utility>
 
+#include "platform/json.h"
 #include "platform/readiness_path.h"
 #include "src/net/flow_path_socket.h"
 #include "src/net/http_library.h"
@@ -112,7 +113,7 @@
 }
 
 std::string SoakVms::Start(SoakVm& vm) {
-  const std::string log = (folder_ / (vm.name + ".log")).string();
+  const std::string log = LogPathOf(vm).string();
   const std::string settings_file = vm.settings_path.string();
   const char* const arguments[] = {"marjoramhall", "forward", "--settings",
                                    settings_file.c_str(), nullptr};
@@ -211,4 +212,24 @@
   vm.ready = ok || (vm.ready && vm.failed_polls < kFailedPollsUntilNotReady);
 }
 
+std::filesystem::path SoakVms::LogPathOf(const SoakVm& vm) const {
+  return folder_ / (vm.name + ".log");
+}
+
+std::map<std::string, std::string> SoakVms::RefusalReasons(
+    const SoakVm& vm) const {
+  std::map<std::string, std::string> reasons;
+  std::ifstream log(LogPathOf(vm));
+  for (std::string line; std::getline(log, line);) {
+    const platform::Json entry = platform::ParseJson(line);
+    const auto detail = platform::TextAt(entry, "detail");
+    const auto reason = platform::TextAt(entry, "reason");
+    if (detail && reason &&
+        platform::TextAt(entry, "kind") == "refuse-request") {
+      reasons[std::string(detail->substr(0, detail->find(',')))] = *reason;
+    }
+  }
+  return reasons;
+}
+
 }  // namespace marjoramhall::lab
--- a/lab/soak_vms.h
+++ b/lab/soak_vms.h
@@ -6,6 +6,7 @@
 #include <sys/types.h>
 
 #include <filesystem>
+#include <map>
 #include <memory>
 #include <string>
 #include <vector>
@@ -71,9 +72,15 @@
   // Blocks for up to 200 ms.
   void PollReadiness(SoakVm& vm);
 
+  // Reasons of the refusals in the log of a VM, by flow ("CLIENT to SERVICE").
+  // Cost: reads the whole log.
+  std::map<std::string, std::string> RefusalReasons(const SoakVm& vm) const;
+
   std::vector<SoakVm>& all() { return vms_; }
 
  private:
+  std::filesystem::path LogPathOf(const SoakVm& vm) const;
+
   const std::filesystem::path binary_;
   const std::filesystem::path folder_;
   std::vector<SoakVm> vms_;
--- a/tests/discovery/foreign_entries_test.cc
+++ b/tests/discovery/foreign_entries_test.cc
@@ -258,6 +258,7 @@
   const auto hook = [](const Decision&) {};
   TargetRegistry registry({}, hook);
   std::vector<StoreChange> ordered;
+  ordered.reserve(order.size());
   for (const size_t i : order) {
     ordered.push_back(changes[i]);
   }
--- a/tools/soak.sh
+++ b/tools/soak.sh
@@ -9,12 +9,11 @@
 build=$1 seconds=$2 fresh=$3
 folder=$(mktemp -d)
 failed=0
-# Findings that KNOWN-RED.txt lists, by seed. Any other finding of the seed is a
-# failure.
+# Findings that KNOWN-RED.txt lists, by seed: those of one reason that a VM has
+# logged, and one state of the store. Any other finding of the seed is a failure.
 known_finding() {
   case "$1" in
-    411) echo '^BROKEN a packet of a flow that is open at .* reached ' ;;
-    1) echo '^BROKEN a new flow for .* was refused by ' ;;
+    1) echo '^BROKEN a new flow for .* was refused by .*, the store evacuates:( [ab])?; reason: overload$' ;;
   esac
 }
 is_known_red() {
