Drop SYNs by the time that they may have waited in the socket

Cause: SYNs were stale after a gap of 200 ms between two notes of the time, each made after a receive call. A stall after a receive call that found nothing ends with such a note, so that two stalls of 140 ms in a row hid a wait of 275 ms.

Change: packets wait since the begin of the last receive call that emptied the socket, at most. The bound is 180 ms, 20 ms before a client's copy is due.

--- a/src/forward/forwarder.cc
+++ b/src/forward/forwarder.cc
@@ -8,10 +8,10 @@
 namespace marjoramhall::forward {
 namespace {
 
-// Gap between two batches after which waiting SYNs are stale. Clients
-// retransmit a SYN after 200 ms, possibly through another VM. Without a
-// suspension the gaps are at most 20 ms long.
-constexpr Duration kStaleSynGap = std::chrono::milliseconds(200);
+// Time that a SYN may have waited after which it is stale. By then its client
+// has sent it again, possibly through another VM, or does so before an answer
+// can reach it. Packets usually wait for at most 20 ms.
+constexpr Duration kStaleSynWait = kFirstSynRetransmission - kAnswerDue;
 // A client retransmits after 200 ms and 600 ms. A target that works has
 // acknowledged the packet by the second time.
 constexpr Duration kAbandonedAfter = std::chrono::milliseconds(500);
@@ -49,11 +49,10 @@
 }
 
 bool Forwarder::OnReceiveBatch(TimePoint boot_now) {
-  const bool is_gap = last_batch_at_ != TimePoint() &&
-                      boot_now - last_batch_at_ >= kStaleSynGap;
-  resuming_ |= is_gap;
-  last_batch_at_ = boot_now;
-  return is_gap;
+  const bool may_be_stale =
+      waiting_since_ && boot_now - *waiting_since_ >= kStaleSynWait;
+  resuming_ |= may_be_stale;
+  return may_be_stale;
 }
 
 PacketVerdict Forwarder::OnPacket(const PacketHeader& header,
--- a/src/forward/forwarder.h
+++ b/src/forward/forwarder.h
@@ -137,13 +137,16 @@
   }
 
   // Must be called with BootTimeNow() after packets are received and before
-  // they are passed in, and again before each SYN of the batch. After a long
-  // gap, for instance because this VM was suspended, SYNs are dropped until the
-  // next OnTick(). Their clients have retransmitted them, so another VM may
-  // have opened the flow at a target of its choice. Returns whether there was
-  // such a gap since the last call: more packets may have waited than the
-  // receive call saw, if it returned before the gap.
+  // they are passed in, and again before each SYN of the batch. SYNs are
+  // dropped if they may have waited for long, for instance because this VM was
+  // suspended or got no processor, until the next OnTick(): their clients have
+  // retransmitted them, so another VM may have opened the flow at a target of
+  // its choice. Returns whether they may. More packets may have waited then
+  // than the receive call saw.
   bool OnReceiveBatch(TimePoint boot_now);
+  // All packets that had arrived at this time, of the same clock, have been
+  // passed in. The others have waited since then at most.
+  void OnSocketEmptied(TimePoint boot_time) { waiting_since_ = boot_time; }
 
   // Decides about one packet. `datagram` is the packet in wire format.
   // Cost: two hash lookups, and for a SYN one pass over the targets of the
@@ -292,10 +295,11 @@
   double traffic_share_ = 0;  // see OnTrafficShare()
   TimePoint last_packet_at_;
   TimePoint reception_resumed_at_;  // end of the last kReceptionGap
-  TimePoint last_batch_at_;         // of BootTimeNow()
-  TimePoint resumed_at_;            // end of the last long gap between batches
-  // Set from a long gap until the next OnTick(). By then all packets that
-  // waited during the gap have been passed in.
+  // See OnSocketEmptied(). Not set before the first call.
+  std::optional<TimePoint> waiting_since_;
+  TimePoint resumed_at_;  // when packets last stopped waiting for long
+  // Set from a long wait until the next OnTick(). By then all packets that
+  // waited have been passed in.
   bool resuming_ = false;
   TargetTable targets_;
   FlowTracker flows_;
--- a/src/net/packet_path.cc
+++ b/src/net/packet_path.cc
@@ -41,8 +41,10 @@
   Impl& operator=(const Impl&) = delete;
 
   std::string Open() {
+    const TimePoint opened_at = boot_now_();
     std::string error = socket_.Open(options_.listen);
     if (error.empty()) {
+      forwarder_.OnSocketEmptied(opened_at);
       thread_ = std::thread([this] { Run(); });
     }
     return error;
@@ -82,6 +84,7 @@
       TakeView();
       size_t n = 0;
       do {
+        const TimePoint receive_began_at = boot_now_();
         n = socket_.Receive(received_);
         // Called after the packets were received, because they may have waited
         // in the socket while the VM was suspended.
@@ -91,6 +94,9 @@
           OnDatagram(i, now);
         }
         Flush();
+        if (n < kUdpBatchSize) {
+          forwarder_.OnSocketEmptied(receive_began_at);
+        }
         // After a suspension, only a later receive call shows what waited.
       } while (n == kUdpBatchSize || was_suspended_);
       const TimePoint now = SteadyNow();
