Let the lost evacuation that was requested first yield

Change: of several lost evacuations that leave a service no target, those that were requested first yield, until there is one. AnEarlierLostEvacuationYieldsTo- OneThatIsLostLater fails without it.

--- a/src/discovery/evacuations.cc
+++ b/src/discovery/evacuations.cc
@@ -97,8 +97,7 @@
 
 void Evacuations::Mark(const std::vector<std::string>& domains,
                        std::vector<forward::Target>* targets) const {
-  // Services with a target in no evacuated domain.
-  std::set<ServiceId> served;
+  std::set<ServiceId> served;  // services with a target that is not evacuated
   for (size_t i = 0; i < targets->size(); ++i) {
     forward::Target& target = (*targets)[i];
     const auto it = domains_.find(domains[i]);
@@ -107,13 +106,25 @@
       served.insert(target.service);
     }
   }
-  for (size_t i = 0; i < targets->size(); ++i) {
-    forward::Target& target = (*targets)[i];
-    const auto it = domains_.find(domains[i]);
-    if (it != domains_.end() && it->second.lapses_at &&
-        !served.contains(target.service)) {
-      target.is_evacuated = false;
+  // The earlier the request, the likelier it is that its withdrawal was lost.
+  std::map<StorePosition, std::string> lost;
+  for (const auto& [domain, entry] : domains_) {
+    if (entry.lapses_at) {
+      lost.emplace(entry.position, domain);
+    }
+  }
+  for (const auto& [position, domain] : lost) {
+    std::set<ServiceId> served_here;
+    for (size_t i = 0; i < targets->size(); ++i) {
+      forward::Target& target = (*targets)[i];
+      if (domains[i] == domain && !served.contains(target.service)) {
+        target.is_evacuated = false;
+        if (forward::TakesNewFlows(target)) {
+          served_here.insert(target.service);
+        }
+      }
     }
+    served.merge(served_here);
   }
 }
 
--- a/src/discovery/evacuations.h
+++ b/src/discovery/evacuations.h
@@ -55,7 +55,8 @@
 
   // Sets which targets are evacuated. `domains` are their failure domains, in
   // the same order. An evacuation that the store lost may have been withdrawn,
-  // so it does not take the last targets of a service.
+  // so it does not take the last targets of a service. Of several, those that
+  // were requested first yield.
   void Mark(const std::vector<std::string>& domains,
             std::vector<forward::Target>* targets) const;
   // Number of evacuated domains.
