--- a/tests/discovery/foreign_entries_test.cc
+++ b/tests/discovery/foreign_entries_test.cc
@@ -196,7 +196,8 @@
   Apply(MakePut(copy, 3));
   const auto states = [this] {
     std::vector<TargetState> found;
-    for (const forward::Target& it : registry_.MakeView()->targets) {
+    const forward::ViewPtr view = registry_.MakeView();
+    for (const forward::Target& it : view->targets) {
       found.push_back(it.state);
     }
     return found;
